--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# The README's two commands. Each sets up all it needs on a fresh machine.
+BUILD ?= build
+JOBS ?= 8
+SANITIZE ?= OFF
+
+.PHONY: all packages build test demo format format-check lint sanitize clean
+
+all: build
+
+packages:
+	tools/install_packages.sh
+
+build: packages
+	cmake -S . -B $(BUILD) -G Ninja -DZINNIA_SANITIZE=$(SANITIZE)
+	cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	tools/run_tests.sh $(BUILD)
+
+demo: build
+	tools/demo.sh $(BUILD)
+
+format:
+	tools/format.sh -i
+
+format-check:
+	tools/format.sh --dry-run -Werror
+
+lint: build
+	tools/lint.sh $(BUILD)
+
+sanitize:
+	$(MAKE) test BUILD=build-sanitize SANITIZE=ON
+
+clean:
+	cmake -E rm -rf build build-sanitize
--- /dev/null
+++ b/src/config/model.hpp
@@ -0,0 +1,99 @@
+/// The configuration document as plain structs: what operators publish and every daemon reads.
+#pragma once
+
+#include "core/digest.hpp"
+#include "core/time.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace zinniaferry::config
+{
+
+/// Order of importance when room is short; browsing is shed first.
+enum class request_class
+{
+    order,
+    lookup,
+    browse
+};
+
+/// A region with its weight in the split of account limits between regions.
+struct region
+{
+    std::string name;
+    double weight = 1.0;
+};
+
+struct data_centre
+{
+    std::string name;
+    std::string region;
+    bool in_service = true;
+};
+
+struct account
+{
+    std::string name;
+    std::vector<core::digest> keys; ///< SHA-256 of each valid key; two during a rotation.
+    double rate = 0.0;              ///< Requests a second over all VMs.
+    double burst = 0.0;             ///< Requests.
+    double seat_fraction = 0.5;     ///< Part of rate and burst that is divided by `max_vms`.
+};
+
+struct backend_server
+{
+    std::string name;
+    std::string data_centre;
+    std::string address; ///< IP number and port.
+    bool leaving = false;
+};
+
+struct service
+{
+    std::string name;
+    std::uint32_t slots = 2;             ///< Requests that one server runs at once.
+    std::uint32_t cold_allowance = 1;    ///< Concurrent requests that a cold server bears.
+    std::uint32_t max_connections = 250; ///< Per server, over all VMs.
+    std::vector<backend_server> servers;
+};
+
+struct route
+{
+    std::string prefix;
+    std::string service;
+    request_class priority = request_class::lookup;
+    bool idempotent = true;
+    bool open = false; ///< Needs no key.
+    core::duration timeout = std::chrono::seconds(2);
+};
+
+struct configuration
+{
+    std::uint64_t version = 0;
+    std::uint32_t max_vms = 20;
+    std::uint32_t pool_groups = 8;
+    core::duration lease_term = std::chrono::seconds(10);
+    core::duration idempotency_window = std::chrono::seconds(120);
+    std::vector<region> regions;
+    std::vector<data_centre> data_centres;
+    std::vector<account> accounts;
+    std::vector<service> services;
+    std::vector<route> routes;
+};
+
+/// Returns "order", "lookup" or "browse". Thread safe.
+const char* to_string(request_class value);
+
+/// Returns the account, service, data centre or server of that name, or nullptr.
+/// Thread safe while the configuration is not modified.
+const account* find_account(const configuration& config, std::string_view name);
+const service* find_service(const configuration& config, std::string_view name);
+const data_centre* find_data_centre(const configuration& config, std::string_view name);
+
+/// Returns the route with the longest prefix that `path` starts with at a segment boundary, or
+/// nullptr. Thread safe while the configuration is not modified.
+const route* find_route(const configuration& config, std::string_view path);
+
+} // namespace zinniaferry::config
--- /dev/null
+++ b/src/core/error.hpp
@@ -0,0 +1,50 @@
+/// Failure types. Every failure has a type of its own and travels by Boost.LEAF.
+#pragma once
+
+#include <boost/leaf.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace zinniaferry::core
+{
+
+template <class T>
+using result = boost::leaf::result<T>;
+
+/// A document (settings, configuration, chart, trace) that the user must correct.
+struct document_error
+{
+    std::string file;     ///< The file's name, or a label for text that is not from a file.
+    std::string path;     ///< The JSON path of the value, such as "$.accounts[2].rate".
+    std::string value;    ///< The value as written, shortened.
+    std::string expected; ///< What is accepted there.
+};
+
+/// A file that could not be read or written.
+struct file_error
+{
+    std::string file;
+    int error_number = 0; ///< errno after the failed call.
+};
+
+/// A message from a peer that was refused.
+struct peer_message_error
+{
+    enum class reason
+    {
+        malformed,
+        too_large,
+        forged,
+        out_of_order
+    };
+    reason why = reason::malformed;
+    std::uint64_t size = 0; ///< Bytes.
+};
+
+/// Returns the error as one line for an operator. Thread safe.
+std::string to_string(const document_error& error);
+std::string to_string(const file_error& error);
+std::string to_string(const peer_message_error& error);
+
+} // namespace zinniaferry::core
--- /dev/null
+++ b/src/core/random.hpp
@@ -0,0 +1,24 @@
+/// Random numbers of the decision logic; the generator is passed in, so that runs repeat.
+#pragma once
+
+#include <cstdint>
+#include <random>
+
+namespace zinniaferry::core
+{
+
+using random_generator = std::mt19937_64;
+
+/// Returns a number in [0, 1). Not thread safe for a shared generator.
+inline double uniform(random_generator& random)
+{
+    return static_cast<double>(random() >> 11U) * 0x1.0p-53;
+}
+
+/// Returns an index in [0, size). Precondition: size > 0. Not thread safe for a shared generator.
+inline std::size_t uniform_index(random_generator& random, std::size_t size)
+{
+    return static_cast<std::size_t>(random() % size);
+}
+
+} // namespace zinniaferry::core
--- /dev/null
+++ b/tools/lint.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Runs clang-tidy over all C++ sources that are not generated. A content hash per file skips unchanged results
+# only through the compiler cache, so the verdict depends on the tree alone.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${1:-build}
+git ls-files --cached --others --exclude-standard -- 'src/*.cpp' 'apps/*.cpp' 'bench/*.cpp' |
+    xargs -r -P 8 -n 2 clang-tidy --quiet -p "$build"
