--- a/src/config/model.hpp
+++ b/src/config/model.hpp
@@ -24,6 +24,8 @@
 {
     std::string name;
     double weight = 1.0;
+
+    bool operator==(const region&) const = default;
 };
 
 struct data_centre
@@ -31,6 +33,8 @@
     std::string name;
     std::string region;
     bool in_service = true;
+
+    bool operator==(const data_centre&) const = default;
 };
 
 struct account
@@ -40,6 +44,8 @@
     double rate = 0.0;              ///< Requests a second over all VMs.
     double burst = 0.0;             ///< Requests.
     double seat_fraction = 0.5;     ///< Part of rate and burst that is divided by `max_vms`.
+
+    bool operator==(const account&) const = default;
 };
 
 struct backend_server
@@ -48,6 +54,8 @@
     std::string data_centre;
     std::string address; ///< IP number and port.
     bool leaving = false;
+
+    bool operator==(const backend_server&) const = default;
 };
 
 struct service
@@ -57,6 +65,8 @@
     std::uint32_t cold_allowance = 1;    ///< Concurrent requests that a cold server bears.
     std::uint32_t max_connections = 250; ///< Per server, over all VMs.
     std::vector<backend_server> servers;
+
+    bool operator==(const service&) const = default;
 };
 
 struct route
@@ -67,6 +77,8 @@
     bool idempotent = true;
     bool open = false; ///< Needs no key.
     core::duration timeout = std::chrono::seconds(2);
+
+    bool operator==(const route&) const = default;
 };
 
 struct configuration
@@ -81,6 +93,8 @@
     std::vector<account> accounts;
     std::vector<service> services;
     std::vector<route> routes;
+
+    bool operator==(const configuration&) const = default;
 };
 
 /// Returns "order", "lookup" or "browse". Thread safe.
--- /dev/null
+++ b/src/config/printer.cpp
@@ -0,0 +1,177 @@
+#include "config/printer.hpp"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <boost/json.hpp>
+
+#include <array>
+#include <charconv>
+#include <iterator>
+
+namespace zinniaferry::config
+{
+
+namespace
+{
+
+using output = std::back_insert_iterator<std::string>;
+
+// Fixed notation of numbers up to 1e7 with six decimals takes 15 characters; a number that is out
+// of range must still fit, because the builder prints before it checks.
+constexpr std::size_t number_room = 400;
+
+std::string number(double value)
+{
+    std::array<char, number_room> room{};
+    const auto done =
+        std::to_chars(room.data(), room.data() + room.size(), value, std::chars_format::fixed);
+    return {room.data(), done.ptr};
+}
+
+std::string quoted(std::string_view text)
+{
+    return boost::json::serialize(boost::json::string_view(text.data(), text.size()));
+}
+
+long long milliseconds(core::duration d)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
+
+void append(std::string& out, const region& value)
+{
+    fmt::format_to(output(out), R"({{"name":{},"weight":{}}})", quoted(value.name),
+                   number(value.weight));
+}
+
+void append(std::string& out, const data_centre& value)
+{
+    fmt::format_to(output(out), R"({{"name":{},"region":{},"state":"{}"}})", quoted(value.name),
+                   quoted(value.region), value.in_service ? "in" : "out");
+}
+
+void append(std::string& out, const account& value)
+{
+    fmt::format_to(output(out), R"({{"name":{},"keys":[)", quoted(value.name));
+    const char* separator = "";
+    for (const core::digest& key : value.keys)
+    {
+        fmt::format_to(output(out), R"({}"{}")", separator, core::to_hex(key));
+        separator = ",";
+    }
+    fmt::format_to(output(out), R"(],"rate":{},"burst":{},"seat_fraction":{}}})",
+                   number(value.rate), number(value.burst), number(value.seat_fraction));
+}
+
+// The default of `leaving` is left out: there may be 17,000 servers in a document of 1 MB.
+void append(std::string& out, const backend_server& value)
+{
+    fmt::format_to(output(out), R"({{"name":{},"data_centre":{},"address":{}{}}})",
+                   quoted(value.name), quoted(value.data_centre), quoted(value.address),
+                   value.leaving ? R"(,"leaving":true)" : "");
+}
+
+void append(std::string& out, const service& value);
+void append(std::string& out, const route& value);
+
+template <class Entry>
+void append_list(std::string& out, const std::vector<Entry>& entries)
+{
+    out += "[";
+    const char* separator = "\n";
+    for (const Entry& entry : entries)
+    {
+        out += separator;
+        append(out, entry);
+        separator = ",\n";
+    }
+    out += entries.empty() ? "]" : "\n]";
+}
+
+void append(std::string& out, const service& value)
+{
+    fmt::format_to(output(out),
+                   R"({{"name":{},"slots":{},"cold_allowance":{},"max_connections":{},"servers":)",
+                   quoted(value.name), value.slots, value.cold_allowance, value.max_connections);
+    append_list(out, value.servers);
+    out += "}";
+}
+
+void append(std::string& out, const route& value)
+{
+    fmt::format_to(
+        output(out),
+        R"({{"prefix":{},"service":{},"class":"{}","idempotent":{},"open":{},"timeout_ms":{}}})",
+        quoted(value.prefix), quoted(value.service), to_string(value.priority), value.idempotent,
+        value.open, milliseconds(value.timeout));
+}
+
+template <class Entry>
+std::string print_entry(const Entry& value)
+{
+    std::string out;
+    append(out, value);
+    return out;
+}
+
+template <class Entry>
+void append_section(std::string& out, const char* name, const std::vector<Entry>& entries)
+{
+    fmt::format_to(output(out), ",\n\"{}\":", name);
+    append_list(out, entries);
+}
+
+} // namespace
+
+std::string print(const configuration& config)
+{
+    std::string out =
+        fmt::format("{{\n\"version\":{},\n\"max_vms\":{},\n\"pool_groups\":{},\n"
+                    "\"lease_term_ms\":{},\n\"idempotency_window_ms\":{}",
+                    config.version, config.max_vms, config.pool_groups,
+                    milliseconds(config.lease_term), milliseconds(config.idempotency_window));
+    append_section(out, "regions", config.regions);
+    append_section(out, "data_centres", config.data_centres);
+    append_section(out, "accounts", config.accounts);
+    append_section(out, "services", config.services);
+    append_section(out, "routes", config.routes);
+    out += "\n}\n";
+    return out;
+}
+
+std::string print(const region& value)
+{
+    return print_entry(value);
+}
+
+std::string print(const data_centre& value)
+{
+    return print_entry(value);
+}
+
+std::string print(const account& value)
+{
+    return print_entry(value);
+}
+
+std::string print(const backend_server& value)
+{
+    return print_entry(value);
+}
+
+std::string print(const service& value)
+{
+    return print_entry(value);
+}
+
+std::string print(const route& value)
+{
+    return print_entry(value);
+}
+
+core::digest digest_of(const configuration& config)
+{
+    return core::sha256(print(config));
+}
+
+} // namespace zinniaferry::config
--- /dev/null
+++ b/src/config/printer.hpp
@@ -0,0 +1,27 @@
+/// Prints a configuration as canonical text, which the fleet compares by digest.
+#pragma once
+
+#include "config/model.hpp"
+
+#include <string>
+
+namespace zinniaferry::config
+{
+
+/// Returns the canonical text: the fields in the order of the model, the entries in the order
+/// given, one entry a line. `read_configuration` of it gives an equal configuration when the
+/// configuration is valid. Thread safe.
+std::string print(const configuration& config);
+
+/// Returns the text of one entry as it stands in the canonical text. Thread safe.
+std::string print(const region& value);
+std::string print(const data_centre& value);
+std::string print(const account& value);
+std::string print(const backend_server& value);
+std::string print(const service& value);
+std::string print(const route& value);
+
+/// Returns the digest of the canonical text. Thread safe.
+core::digest digest_of(const configuration& config);
+
+} // namespace zinniaferry::config
--- /dev/null
+++ b/src/config/reader.cpp
@@ -0,0 +1,319 @@
+#include "config/reader.hpp"
+
+#include "config/json_document.hpp"
+#include "config/printer.hpp"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstdio>
+#include <memory>
+
+namespace zinniaferry::config
+{
+
+namespace
+{
+
+namespace json = boost::json;
+using field_name = std::string_view;
+using names_seen = std::unordered_set<std::string>;
+
+constexpr std::array<field_name, 10> top_fields{
+    "version", "max_vms",      "pool_groups", "lease_term_ms", "idempotency_window_ms",
+    "regions", "data_centres", "accounts",    "services",      "routes"};
+constexpr std::array<field_name, 2> region_fields{"name", "weight"};
+constexpr std::array<field_name, 3> data_centre_fields{"name", "region", "state"};
+constexpr std::array<field_name, 5> account_fields{"name", "keys", "rate", "burst",
+                                                   "seat_fraction"};
+constexpr std::array<field_name, 5> service_fields{"name", "slots", "cold_allowance",
+                                                   "max_connections", "servers"};
+constexpr std::array<field_name, 4> server_fields{"name", "data_centre", "address", "leaving"};
+constexpr std::array<field_name, 6> route_fields{"prefix",     "service", "class",
+                                                 "idempotent", "open",    "timeout_ms"};
+constexpr std::array<section_fields, 7> sections{{{"configuration", top_fields},
+                                                  {"regions", region_fields},
+                                                  {"data_centres", data_centre_fields},
+                                                  {"accounts", account_fields},
+                                                  {"services", service_fields},
+                                                  {"servers", server_fields},
+                                                  {"routes", route_fields}}};
+
+constexpr std::array<field_name, 2> state_names{"in", "out"};
+constexpr std::array<field_name, 3> class_names{"order", "lookup", "browse"};
+
+// What the entries refer to and may not repeat.
+struct reading
+{
+    const std::string& file;
+    configuration config;
+    names_seen regions;
+    names_seen data_centres;
+    names_seen accounts;
+    names_seen keys;
+    names_seen services;
+    names_seen servers;
+    names_seen addresses;
+    names_seen prefixes;
+};
+
+core::result<void> read_reference(const object_reader& reader, std::string_view member,
+                                  const names_seen& declared, const char* expected,
+                                  std::string& out)
+{
+    BOOST_LEAF_CHECK(read_name(reader, member, presence::required, out));
+    if (!declared.contains(out))
+    {
+        return field_error(reader, member, out, expected);
+    }
+    return {};
+}
+
+core::result<void> read_entry(const object_reader& reader, reading& state, region& out)
+{
+    BOOST_LEAF_CHECK(check_members(reader, region_fields));
+    BOOST_LEAF_CHECK(read_name(reader, "name", presence::required, out.name));
+    BOOST_LEAF_CHECK(check_unique(reader, "name", state.regions, out.name, "a name used once"));
+    return read_decimal(reader, "weight", presence::optional,
+                        {.low = min_weight, .high = max_weight}, out.weight);
+}
+
+core::result<void> read_entry(const object_reader& reader, reading& state, data_centre& out)
+{
+    BOOST_LEAF_CHECK(check_members(reader, data_centre_fields));
+    BOOST_LEAF_CHECK(read_name(reader, "name", presence::required, out.name));
+    BOOST_LEAF_CHECK(
+        check_unique(reader, "name", state.data_centres, out.name, "a name used once"));
+    BOOST_LEAF_CHECK(
+        read_reference(reader, "region", state.regions, "a declared region", out.region));
+    std::size_t position = out.in_service ? 0 : 1;
+    BOOST_LEAF_CHECK(read_choice(reader, "state", presence::optional, state_names, position));
+    out.in_service = position == 0;
+    return {};
+}
+
+// The value is not shown, because an operator may have put the key itself where its digest goes.
+core::result<void> read_key(const object_reader& list, std::size_t i, const json::value& value,
+                            reading& state, account& out)
+{
+    const json_place keys{.parent = &list.place, .member = "keys"};
+    const json_place place{.parent = &keys, .element = i};
+    const object_reader here{.file = list.file, .place = place, .object = list.object};
+    const json::string* text = value.if_string();
+    if (text == nullptr)
+    {
+        return field_error(here, {}, "a value that is not text", "a SHA-256 digest");
+    }
+    const auto key = core::digest_from_hex(std::string_view(text->data(), text->size()));
+    if (!key)
+    {
+        return field_error(here, {}, fmt::format("a text of {} bytes", text->size()),
+                           "a SHA-256 digest of 64 hexadecimal digits");
+    }
+    BOOST_LEAF_CHECK(
+        check_unique(here, {}, state.keys, core::to_hex(*key), "a key used by one account once"));
+    out.keys.push_back(*key);
+    return {};
+}
+
+core::result<void> read_entry(const object_reader& reader, reading& state, account& out)
+{
+    BOOST_LEAF_CHECK(check_members(reader, account_fields));
+    BOOST_LEAF_CHECK(read_name(reader, "name", presence::required, out.name));
+    BOOST_LEAF_CHECK(check_unique(reader, "name", state.accounts, out.name, "a name used once"));
+    BOOST_LEAF_AUTO(keys, read_list(reader, "keys", presence::required));
+    if (keys->size() > max_keys_per_account)
+    {
+        return field_error(reader, "keys", fmt::format("{} keys", keys->size()),
+                           fmt::format("at most {} keys", max_keys_per_account));
+    }
+    for (std::size_t i = 0; i < keys->size(); ++i)
+    {
+        BOOST_LEAF_CHECK(read_key(reader, i, (*keys)[i], state, out));
+    }
+    BOOST_LEAF_CHECK(read_decimal(reader, "rate", presence::required,
+                                  {.low = min_rate, .high = max_rate}, out.rate));
+    BOOST_LEAF_CHECK(read_decimal(reader, "burst", presence::required,
+                                  {.low = min_burst, .high = max_burst}, out.burst));
+    return read_decimal(reader, "seat_fraction", presence::optional, {.low = 0.0, .high = 1.0},
+                        out.seat_fraction);
+}
+
+// Server names are unique over all services, because cold permits belong to a server by its name.
+core::result<void> read_entry(const object_reader& reader, reading& state, backend_server& out)
+{
+    BOOST_LEAF_CHECK(check_members(reader, server_fields));
+    BOOST_LEAF_CHECK(read_name(reader, "name", presence::required, out.name));
+    BOOST_LEAF_CHECK(check_unique(reader, "name", state.servers, out.name, "a name used once"));
+    BOOST_LEAF_CHECK(read_reference(reader, "data_centre", state.data_centres,
+                                    "a declared data centre", out.data_centre));
+    BOOST_LEAF_CHECK(read_address(reader, "address", presence::required, false, out.address));
+    BOOST_LEAF_CHECK(
+        check_unique(reader, "address", state.addresses, out.address, "an address used once"));
+    return read_bool(reader, "leaving", presence::optional, out.leaving);
+}
+
+core::result<void> read_entry(const object_reader& reader, reading& state, service& out);
+core::result<void> read_entry(const object_reader& reader, reading& state, route& out);
+
+template <class Entry>
+core::result<void> read_entries(const object_reader& reader, std::string_view member,
+                                reading& state, std::vector<Entry>& out)
+{
+    BOOST_LEAF_AUTO(list, read_list(reader, member, presence::required));
+    const json_place list_place{.parent = &reader.place, .member = member};
+    out.reserve(list->size());
+    for (std::size_t i = 0; i < list->size(); ++i)
+    {
+        const json_place place{.parent = &list_place, .element = i};
+        BOOST_LEAF_AUTO(object, as_object((*list)[i], reader.file, place));
+        const object_reader entry{.file = reader.file, .place = place, .object = *object};
+        BOOST_LEAF_CHECK(read_entry(entry, state, out.emplace_back()));
+    }
+    return {};
+}
+
+core::result<void> read_entry(const object_reader& reader, reading& state, service& out)
+{
+    BOOST_LEAF_CHECK(check_members(reader, service_fields));
+    BOOST_LEAF_CHECK(read_name(reader, "name", presence::required, out.name));
+    BOOST_LEAF_CHECK(check_unique(reader, "name", state.services, out.name, "a name used once"));
+    constexpr number_bounds<std::uint32_t> slot_bounds{.low = 1, .high = max_slots};
+    BOOST_LEAF_CHECK(read_integer(reader, "slots", presence::optional, slot_bounds, out.slots));
+    BOOST_LEAF_CHECK(read_integer(reader, "cold_allowance", presence::optional, slot_bounds,
+                                  out.cold_allowance));
+    // Each VM uses at most max_connections/max_vms connections, which must not be zero.
+    const number_bounds<std::uint32_t> connections{.low = state.config.max_vms,
+                                                   .high = max_max_connections};
+    BOOST_LEAF_CHECK(read_integer(reader, "max_connections", presence::optional, connections,
+                                  out.max_connections));
+    if (out.max_connections < state.config.max_vms)
+    {
+        return field_error(reader, "max_connections", std::to_string(out.max_connections),
+                           fmt::format("at least max_vms, {}", state.config.max_vms));
+    }
+    return read_entries(reader, "servers", state, out.servers);
+}
+
+core::result<void> read_prefix(const object_reader& reader, std::string& out)
+{
+    const std::string expected = fmt::format("a path of at most {} printable characters that "
+                                             "starts with '/' and has no '?' or '#'",
+                                             max_prefix_length);
+    const json::value* value = reader.object.if_contains("prefix");
+    const json::string* text = value == nullptr ? nullptr : value->if_string();
+    const auto is_path_character = [](char c)
+    {
+        return c > ' ' && c <= '~' && c != '?' && c != '#';
+    };
+    if (text == nullptr || text->size() > max_prefix_length || !text->starts_with('/') ||
+        !std::all_of(text->begin(), text->end(), is_path_character))
+    {
+        return field_error(reader, "prefix", value == nullptr ? "nothing" : shortened(*value),
+                           expected);
+    }
+    out.assign(text->data(), text->size());
+    return {};
+}
+
+core::result<void> read_entry(const object_reader& reader, reading& state, route& out)
+{
+    BOOST_LEAF_CHECK(check_members(reader, route_fields));
+    BOOST_LEAF_CHECK(read_prefix(reader, out.prefix));
+    BOOST_LEAF_CHECK(
+        check_unique(reader, "prefix", state.prefixes, out.prefix, "a prefix used once"));
+    BOOST_LEAF_CHECK(
+        read_reference(reader, "service", state.services, "a declared service", out.service));
+    std::size_t position = 0;
+    BOOST_LEAF_CHECK(read_choice(reader, "class", presence::required, class_names, position));
+    out.priority = static_cast<request_class>(position);
+    BOOST_LEAF_CHECK(read_bool(reader, "idempotent", presence::optional, out.idempotent));
+    BOOST_LEAF_CHECK(read_bool(reader, "open", presence::optional, out.open));
+    return read_milliseconds(reader, "timeout_ms", presence::optional,
+                             {.low = min_timeout, .high = max_timeout}, out.timeout);
+}
+
+core::result<void> read_numbers(const object_reader& reader, configuration& out)
+{
+    BOOST_LEAF_CHECK(read_integer(reader, "version", presence::required,
+                                  number_bounds<std::uint64_t>{.low = 1, .high = max_version},
+                                  out.version));
+    BOOST_LEAF_CHECK(read_integer(reader, "max_vms", presence::required,
+                                  number_bounds<std::uint32_t>{.low = 1, .high = max_max_vms},
+                                  out.max_vms));
+    BOOST_LEAF_CHECK(read_integer(reader, "pool_groups", presence::optional,
+                                  number_bounds<std::uint32_t>{.low = 1, .high = max_pool_groups},
+                                  out.pool_groups));
+    BOOST_LEAF_CHECK(read_milliseconds(reader, "lease_term_ms", presence::optional,
+                                       {.low = min_lease_term, .high = max_lease_term},
+                                       out.lease_term));
+    return read_milliseconds(reader, "idempotency_window_ms", presence::optional,
+                             {.low = min_idempotency_window, .high = max_idempotency_window},
+                             out.idempotency_window);
+}
+
+} // namespace
+
+std::span<const section_fields> configuration_fields()
+{
+    return sections;
+}
+
+core::result<configuration> read_configuration(std::string_view text, const std::string& file)
+{
+    json::monotonic_resource memory;
+    BOOST_LEAF_AUTO(document, parse_document(text, file, &memory));
+    const json_place place{};
+    BOOST_LEAF_AUTO(object, as_object(document, file, place));
+    const object_reader reader{.file = file, .place = place, .object = *object};
+    BOOST_LEAF_CHECK(check_members(reader, top_fields));
+    reading state{.file = file};
+    configuration& out = state.config;
+    BOOST_LEAF_CHECK(read_numbers(reader, out));
+    BOOST_LEAF_CHECK(read_entries(reader, "regions", state, out.regions));
+    BOOST_LEAF_CHECK(read_entries(reader, "data_centres", state, out.data_centres));
+    BOOST_LEAF_CHECK(read_entries(reader, "accounts", state, out.accounts));
+    BOOST_LEAF_CHECK(read_entries(reader, "services", state, out.services));
+    BOOST_LEAF_CHECK(read_entries(reader, "routes", state, out.routes));
+    // Daemons pass the canonical text on, so it must fit as well when defaults are written out.
+    const std::size_t size = print(out).size();
+    if (size > max_document_bytes)
+    {
+        return field_error(reader, {}, fmt::format("{} bytes in canonical form", size),
+                           fmt::format("at most {} bytes", max_document_bytes));
+    }
+    return std::move(state.config);
+}
+
+core::result<std::string> read_text_file(const std::string& file)
+{
+    const auto close = [](std::FILE* open)
+    {
+        std::fclose(open);
+    };
+    const std::unique_ptr<std::FILE, decltype(close)> input(std::fopen(file.c_str(), "rb"), close);
+    if (!input)
+    {
+        return boost::leaf::new_error(core::file_error{.file = file, .error_number = errno});
+    }
+    std::string out(max_document_bytes + 1, '\0');
+    errno = 0;
+    out.resize(std::fread(out.data(), 1, out.size(), input.get()));
+    if (std::ferror(input.get()) != 0)
+    {
+        return boost::leaf::new_error(core::file_error{.file = file, .error_number = errno});
+    }
+    if (out.size() > max_document_bytes)
+    {
+        return boost::leaf::new_error(
+            core::document_error{.file = file,
+                                 .path = "$",
+                                 .value = fmt::format("more than {} bytes", max_document_bytes),
+                                 .expected = fmt::format("at most {} bytes", max_document_bytes)});
+    }
+    return out;
+}
+
+} // namespace zinniaferry::config
--- /dev/null
+++ b/src/config/reader.hpp
@@ -0,0 +1,54 @@
+/// Reads and checks configuration documents: JSON with comments and trailing commas.
+#pragma once
+
+#include "config/model.hpp"
+#include "config/settings.hpp"
+#include "core/error.hpp"
+
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace zinniaferry::config
+{
+
+/// Bounds of the numbers in a configuration. A JSON number keeps integers exactly up to 2^53.
+inline constexpr std::uint64_t max_version = (1ULL << 53U) - 1;
+inline constexpr std::uint32_t max_max_vms = 4096;
+inline constexpr std::uint32_t max_pool_groups = 256;
+inline constexpr core::duration min_lease_term = std::chrono::milliseconds(100);
+inline constexpr core::duration max_lease_term = std::chrono::minutes(1);
+inline constexpr core::duration min_idempotency_window = std::chrono::seconds(1);
+inline constexpr core::duration max_idempotency_window = std::chrono::hours(24);
+inline constexpr double min_weight = 0.001;
+inline constexpr double max_weight = 1000;
+inline constexpr double min_rate = 0.001; ///< Requests a second.
+inline constexpr double max_rate = 1e7;   ///< Requests a second.
+inline constexpr double min_burst = 1;    ///< Requests; a request takes a whole token.
+inline constexpr double max_burst = 1e7;  ///< Requests.
+inline constexpr std::size_t max_keys_per_account = 2;
+inline constexpr std::uint32_t max_slots = 10000;
+inline constexpr std::uint32_t max_max_connections = 100000;
+inline constexpr core::duration min_timeout = std::chrono::milliseconds(1);
+inline constexpr core::duration max_timeout = std::chrono::minutes(10);
+inline constexpr std::size_t max_prefix_length = 256; ///< Characters.
+
+/// The field names that the reader accepts in one kind of object.
+struct section_fields
+{
+    std::string_view section; ///< Such as "accounts"; "configuration" for the document itself.
+    std::span<const std::string_view> names;
+};
+
+/// Returns every field that `read_configuration` accepts. Thread safe.
+std::span<const section_fields> configuration_fields();
+
+/// Reads and checks a whole configuration. `file` is only named in errors. Error: document_error
+/// for the first fault found. Thread safe.
+core::result<configuration> read_configuration(std::string_view text, const std::string& file);
+
+/// Returns the content of a file. Errors: file_error; document_error when it is larger than
+/// `max_document_bytes`. Thread safe.
+core::result<std::string> read_text_file(const std::string& file);
+
+} // namespace zinniaferry::config
--- /dev/null
+++ b/src/config/settings.hpp
@@ -0,0 +1,62 @@
+/// Settings of one daemon: its identity, its addresses and its secrets. They are read once at
+/// start; everything that may change later is in the configuration.
+#pragma once
+
+#include "core/error.hpp"
+#include "core/time.hpp"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace zinniaferry::config
+{
+
+inline constexpr std::uint32_t max_threads = 64;
+inline constexpr core::duration max_stop_grace = std::chrono::minutes(10);
+/// Shorter secrets can be guessed; in characters.
+inline constexpr std::size_t min_secret_length = 16;
+inline constexpr std::size_t max_secret_length = 256;
+
+enum class log_level
+{
+    debug,
+    info,
+    warning,
+    error
+};
+
+enum class log_format
+{
+    text,
+    json
+};
+
+struct settings
+{
+    std::string vm;
+    std::string data_centre;
+    std::string region;
+    std::string listen;       ///< IP number and port for callers; port 0 lets the system choose.
+    std::string admin_listen; ///< As `listen`, for the admin listener.
+    std::string peer_listen;  ///< As `listen`, for the other daemons of the fleet.
+    std::string platform;     ///< IP number and port of the configuration service.
+    std::string peer_secret;  ///< Shared by the daemons of a fleet.
+    std::string admin_credential; ///< Bearer credential of the admin listener.
+    log_level level = log_level::info;
+    log_format format = log_format::text;
+    core::duration stop_grace = std::chrono::seconds(5);
+    std::uint32_t threads = 1;
+
+    bool operator==(const settings&) const = default;
+};
+
+/// Returns the names that a settings document may use. Thread safe.
+std::span<const std::string_view> settings_fields();
+
+/// Reads settings from JSON with comments. `file` is only named in errors. Error: document_error,
+/// which never holds a secret. Thread safe.
+core::result<settings> read_settings(std::string_view text, const std::string& file);
+
+} // namespace zinniaferry::config
