--- /dev/null
+++ b/src/stand_in/platform.hpp
@@ -0,0 +1,61 @@
+/// Stand-in for the platform's configuration service and VM list: reads and watches, a call
+/// counter, and modes in which it fails.
+#pragma once
+
+#include "stand_in/http_server.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+namespace zinniaferry::stand_in
+{
+
+enum class platform_mode
+{
+    up,
+    down,  ///< Connections that ask for configuration or VMs are reset.
+    stale, ///< Answers stay at one version.
+    slow   ///< Answers come after a delay.
+};
+
+/// A published value with its version (configuration) or revision (VM list).
+struct published
+{
+    std::uint64_t version = 0;
+    std::string text;
+};
+
+/// State of the stand-in. Not thread safe: use it on the thread of its execution context.
+struct platform
+{
+    published configuration;
+    published vms;
+    published stale_configuration; ///< Answered in the mode `stale`.
+    published stale_vms;
+    std::map<std::uint64_t, std::string> history; ///< Every configuration by version.
+    platform_mode mode = platform_mode::up;
+    std::chrono::milliseconds delay{2000}; ///< Used in the mode `slow`.
+    std::set<boost::asio::steady_timer*> waiting;
+    connection_set connections;
+    std::uint64_t configuration_calls = 0;
+    std::uint64_t vm_calls = 0;
+    std::uint64_t not_modified = 0;
+    std::uint64_t resets = 0;
+};
+
+/// Publishes a configuration and wakes the watches. Error: document_error.
+core::result<void> publish_configuration(platform& state, std::string text);
+
+/// Publishes a VM list and wakes the watches; without a revision it gets the next one.
+/// Error: document_error.
+core::result<void> publish_vms(platform& state, const std::string& text);
+
+/// Returns the handler of the stand-in. Precondition: `state` outlives it.
+http_handler make_platform_handler(platform& state);
+
+} // namespace zinniaferry::stand_in
--- /dev/null
+++ b/src/stand_in/program.cpp
@@ -0,0 +1,89 @@
+#include "stand_in/program.hpp"
+
+#include "stand_in/http_server.hpp"
+
+#include <boost/asio/signal_set.hpp>
+#include <cxxopts.hpp>
+
+#include <cerrno>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <iterator>
+
+namespace zinniaferry::stand_in
+{
+
+namespace
+{
+
+int report(const std::string& text)
+{
+    std::fprintf(stderr, "error: %s\n", text.c_str());
+    return usage_exit_code;
+}
+
+} // namespace
+
+core::result<std::string> read_file(const std::string& name)
+{
+    std::ifstream file(name, std::ios::binary);
+    std::string text{std::istreambuf_iterator<char>(file), {}};
+    if (!file)
+    {
+        return boost::leaf::new_error(
+            core::file_error{.file = name, .error_number = errno != 0 ? errno : EIO});
+    }
+    return text;
+}
+
+int run_program(cxxopts::Options& options, int argc, char** argv,
+                const std::function<core::result<int>(const cxxopts::ParseResult&)>& body)
+{
+    options.add_options()("help", "Print this help")("version", "Print the version");
+    try
+    {
+        const cxxopts::ParseResult parsed = options.parse(argc, argv);
+        if (parsed.count("help") > 0)
+        {
+            std::printf("%s\n", options.help().c_str());
+            return 0;
+        }
+        if (parsed.count("version") > 0)
+        {
+            std::printf("%s %s\n", options.program().c_str(), ZINNIA_VERSION);
+            return 0;
+        }
+        if (!parsed.unmatched().empty())
+        {
+            return report("unexpected argument " + parsed.unmatched().front());
+        }
+        return boost::leaf::try_handle_all(
+            [&] { return body(parsed); },
+            [](const core::document_error& error) { return report(core::to_string(error)); },
+            [](const core::file_error& error) { return report(core::to_string(error)); },
+            [](const address_error& error) { return report(to_string(error)); },
+            [](const cxxopts::exceptions::exception& error) { return report(error.what()); },
+            [] { return report("unknown failure"); });
+    }
+    catch (const cxxopts::exceptions::exception& error)
+    {
+        return report(error.what());
+    }
+}
+
+void run_until_signal(boost::asio::io_context& context)
+{
+    boost::asio::signal_set signals(context, SIGINT, SIGTERM);
+    signals.async_wait(
+        [&](const boost::system::error_code& error, int)
+        {
+            if (!error)
+            {
+                context.stop();
+            }
+        });
+    context.run();
+}
+
+} // namespace zinniaferry::stand_in
