--- /dev/null
+++ b/src/stand_in/execution_log.cpp
@@ -0,0 +1,69 @@
+#include "stand_in/execution_log.hpp"
+
+#include <boost/json.hpp>
+
+namespace zinniaferry::stand_in
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+std::int64_t unix_microseconds()
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+const char* to_string(execution_end end)
+{
+    switch (end)
+    {
+    case execution_end::cancelled:
+        return "cancelled";
+    case execution_end::cut:
+        return "cut";
+    case execution_end::completed:
+        return "completed";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+execution::execution(backend& server, const http_request& request)
+    : server(server), request(request), started_us(unix_microseconds())
+{
+    ++server.counters.executions;
+}
+
+execution::~execution()
+{
+    backend_counters& counters = server.counters;
+    ++(end == execution_end::completed ? counters.completed
+       : end == execution_end::cut     ? counters.cut
+                                       : counters.cancelled);
+    if (!server.group->log.is_open())
+    {
+        return;
+    }
+    const json::object line{
+        {"request_id", find_value(request.headers, "x-zinnia-request-id")},
+        {"idempotency_key", find_value(request.headers, "idempotency-key")},
+        {"account", find_value(request.headers, "x-zinnia-account")},
+        // The caller's own id travels in the path, so that records can be matched to executions
+        // without trust in the identifiers that a daemon gives.
+        {"caller_id", find_value(request.query, "id")},
+        {"method", request.method},
+        {"server", server.name},
+        {"start_us", started_us},
+        {"end_us", unix_microseconds()},
+        {"end", to_string(end)},
+        {"key_header", request.headers.contains("x-zinnia-key")}};
+    // Flushed per line, so that a killed stand-in leaves a log that is complete up to then.
+    server.group->log << json::serialize(line) << std::endl;
+}
+
+} // namespace zinniaferry::stand_in
