--- a/src/routing/admission_queue.hpp
+++ b/src/routing/admission_queue.hpp
@@ -21,7 +21,8 @@
     std::uint64_t id = 0; ///< Chosen by the caller, unique in the queue.
     config::request_class priority = config::request_class::lookup;
     core::time_point deadline;
-    core::time_point enqueued;
+    core::time_point enqueued;  ///< Set by enqueue.
+    std::uint64_t sequence = 0; ///< Set by enqueue.
 };
 
 struct admission_options
@@ -44,6 +45,7 @@
     std::uint32_t in_flight = 0;
     double limit = 0.0;
     core::duration latency{};      ///< Average of recent answers.
+    core::duration spread{};       ///< Average distance of an answer from that average.
     core::duration best_latency{}; ///< Lowest average of the present and the former window.
     core::duration window_best{};  ///< Lowest average in the present window.
     core::time_point window_start;
--- a/src/routing/data_centre_weights.hpp
+++ b/src/routing/data_centre_weights.hpp
@@ -6,9 +6,10 @@
 
 #include <boost/json.hpp>
 
+#include <functional>
+#include <map>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 
 namespace zinniaferry::routing
 {
@@ -28,7 +29,7 @@
 struct data_centre_weights
 {
     data_centre_options options;
-    std::unordered_map<std::string, data_centre_state> centres;
+    std::map<std::string, data_centre_state, std::less<>> centres;
 };
 
 /// Builds weights without data centres. Thread safe.
--- a/src/routing/probe_budget.hpp
+++ b/src/routing/probe_budget.hpp
@@ -30,10 +30,19 @@
     std::uint64_t probes = 0;
 };
 
+/// Probe time over all servers since the start.
+struct probe_totals
+{
+    core::duration earned{};
+    core::duration spent{};
+    std::uint64_t probes = 0;
+};
+
 struct probe_budget
 {
     probe_budget_options options;
     std::unordered_map<std::string, server_probe_budget> servers;
+    probe_totals former; ///< Of servers that are no longer configured.
 };
 
 /// Builds a budget without servers. Thread safe.
@@ -53,13 +62,7 @@
 void on_probe_finished(probe_budget& budget, std::string_view server, core::duration took,
                        core::time_point now);
 
-/// Probe time over all servers: earned and spent since the start. Thread safe on a constant budget.
-struct probe_totals
-{
-    core::duration earned{};
-    core::duration spent{};
-    std::uint64_t probes = 0;
-};
+/// Returns the probe time over all servers. Thread safe on a constant budget.
 probe_totals totals(const probe_budget& budget, core::time_point now);
 
 /// Returns the budget for the state dump. Thread safe on a constant budget.
--- a/src/routing/server_table.hpp
+++ b/src/routing/server_table.hpp
@@ -1,9 +1,10 @@
 /// Backend servers of all services as one process sees them: life cycle, load and averages.
 #pragma once
 
-#include "chart/chart.hpp"
 #include "config/model.hpp"
 #include "core/time.hpp"
+#include "routing/load_report.hpp"
+#include "routing/server_life.hpp"
 
 #include <boost/json.hpp>
 
@@ -24,26 +25,6 @@
 
 inline constexpr service_index no_service = 0xFFFFFFFF;
 
-/// States of `charts/backend_server.json`.
-enum class server_state
-{
-    cold,
-    warming,
-    serving,
-    suspect,
-    draining,
-    gone
-};
-
-/// Load that a server states about itself in `X-Zinnia-Load`.
-struct load_report
-{
-    std::uint32_t in_flight = 0;
-    std::uint32_t queued = 0;
-    std::uint32_t slots = 0;
-    server_state state = server_state::serving; ///< serving, warming, cold or draining.
-};
-
 struct server
 {
     std::string name;
@@ -81,7 +62,8 @@
 {
     std::string name;
     std::vector<server_index> servers; ///< Configured servers only.
-    core::duration usual_latency{};    ///< Slow average over good answers of all servers.
+    core::duration latency{};          ///< Average over good answers of all its servers.
+    double error_rate = 0.0;           ///< Average over answers of all its servers.
 };
 
 struct server_table_options
@@ -90,6 +72,7 @@
     core::duration evidence_limit = std::chrono::seconds(10); ///< Evidence older than this is none.
     double latency_gain = 0.2;        ///< Weight of one answer in the short average.
     double usual_latency_gain = 0.01; ///< Weight of one answer in the slow average.
+    double service_gain = 0.02;       ///< Weight of one answer in the averages of a service.
     double error_gain = 0.1;          ///< Weight of one answer in the error rate.
     double jump_factor = 8.0;         ///< Latency over the usual that counts as a jump.
     std::uint32_t jump_answers = 4;   ///< Slow answers in a row that make a jump.
@@ -100,7 +83,6 @@
 struct server_table
 {
     server_table_options options;
-    const chart::state_chart* life_cycle = nullptr;
     std::vector<server> servers;
     std::vector<service_entry> services;
     std::unordered_map<std::string, server_index> by_name;
@@ -142,7 +124,8 @@
 void on_sent(server_table& table, server_index index, core::time_point now);
 void on_answered(server_table& table, server_index index, const answer_event& answer,
                  core::time_point now);
-void on_failed(server_table& table, server_index index, failure why, core::time_point now);
+void on_failed(server_table& table, server_index index, failure why, core::duration latency,
+               core::time_point now);
 
 /// Events of connections from this process. A restart of the server closes all of them, so the
 /// close of the last one ends the evidence. Not thread safe.
@@ -169,13 +152,6 @@
 /// half the evidence limit, and no probe is under way. Thread safe on a constant table.
 bool wants_probe(const server_table& table, const server& entry, core::time_point now);
 
-/// Returns the report in a header value such as "inflight=3;queue=1;slots=2;state=serving", or
-/// nothing when it is malformed. Unknown parts are ignored. Thread safe.
-std::optional<load_report> parse_load_report(std::string_view header);
-
-/// Returns the chart's name of the state. Thread safe.
-const char* to_string(server_state state);
-
 /// Returns the table for the state dump. Thread safe on a constant table.
 boost::json::object dump(const server_table& table, core::time_point now);
 
