--- a/src/fleet/majority_lease.hpp
+++ b/src/fleet/majority_lease.hpp
@@ -43,6 +43,8 @@
     core::time_point held_until{};      ///< The epoch when not held.
     core::time_point vacant_since{};    ///< When no holder was known any more.
     core::duration delay{};             ///< Random part of the wait of lower ranks.
+    core::time_point yield_until{};     ///< Not asking before, in favour of another candidate.
+    unsigned failed_rounds = 0;         ///< In a row.
     bool released = false;              ///< Given up for good.
     core::process_id last_known;        ///< The holder as voters reported it.
     core::time_point last_known_at{};
@@ -54,7 +56,8 @@
     majority_lease_options options;
     core::time_point started{};
     std::uint32_t max_vms = 0; ///< 0 until a configuration is in force.
-    core::duration term{};
+    std::uint32_t pool_groups = 0;
+    core::duration term{};                           ///< That this process counts as a candidate.
     std::vector<lease_acknowledgement> acknowledged; ///< Per group.
     std::vector<lease_candidacy> candidacies;        ///< Per group.
 };
--- a/src/limits/account_limiter.hpp
+++ b/src/limits/account_limiter.hpp
@@ -101,6 +101,7 @@
     std::uint64_t chain = 0;
     std::uint16_t generation = 0;
     bool from_pool = false;
+    std::uint32_t group = 0; ///< Of the pool.
     std::vector<lent_generation> generations;
 };
 
@@ -128,7 +129,9 @@
     double seat_fraction = 0.0;
     owned_capacity seat;
     owned_capacity pool;
-    bool pool_held = false;
+    bool pool_held = false; ///< Only for pool_source::hashed_list.
+    std::string holder;     ///< VM name of the pool's holder as known, may be this VM.
+    core::time_point holder_refused_until{};
     core::time_point pool_from{}; ///< The pool is not used before, after a change of group.
     std::vector<borrowed_share> borrowed;
     std::vector<lent_chain> lent;
@@ -136,7 +139,8 @@
     std::deque<waiting_request> waiting;
     double demand = 0.0; ///< Arrivals a second, exponentially weighted.
     core::time_point demand_at{};
-    core::time_point no_loan_until{};
+    core::time_point next_adjustment{}; ///< Asking for more rate without need waits for this.
+    core::time_point no_loan_until{};   ///< Peers had nothing to lend.
     core::duration backoff{};
 };
 
--- a/src/limits/strategy.hpp
+++ b/src/limits/strategy.hpp
@@ -21,8 +21,8 @@
     const char* name = "";
     pool_source pool = pool_source::majority_lease;
     bool lends = true;
-    std::optional<double> seat_fraction; ///< Overrides the configuration.
-    bool safe = true;                    ///< Keeps rate x window + burst under every fault.
+    std::optional<double> seat_fraction{}; ///< Overrides the configuration.
+    bool safe = true;                      ///< Keeps rate x window + burst under every fault.
 };
 
 inline constexpr strategy static_share{
