--- a/src/fleet/messages.hpp
+++ b/src/fleet/messages.hpp
@@ -13,15 +13,26 @@
 namespace zinniaferry::fleet
 {
 
+/// Age of a contact that has never taken place.
+inline constexpr core::duration never_heard = std::chrono::hours(24);
+
+/// A process that the sender of a heartbeat heard directly.
+struct heard_process
+{
+    std::uint64_t process_hash = 0; ///< From `hash_of(process_id)`; 8 bytes instead of a name.
+    core::duration age{};           ///< Since it was heard, at the time of sending.
+};
+
 /// Tells a peer who is alive, which configuration it has, and how recently the configuration
 /// service was heard of.
 struct heartbeat
 {
     std::uint64_t config_version = 0;
     core::digest config_digest{};
-    core::duration service_age{}; ///< Since the last contact with the service, own or heard.
+    core::duration service_age = never_heard; ///< Since the last contact, own or heard.
     bool leaving = false;
-    std::vector<core::process_id> recently_heard;
+    bool wants_reply = false; ///< The receiver answers with a heartbeat of its own at once.
+    std::vector<heard_process> heard;
 };
 
 /// Asks for the configuration if the receiver has a newer one than `have_version`.
@@ -128,6 +139,7 @@
 struct claim_request
 {
     std::uint64_t claim_id = 0; ///< Unique among the sender's claims.
+    std::uint32_t attempt = 0;  ///< A later attempt of the same claim replaces an earlier one.
     std::uint64_t key_hash = 0; ///< Of account and idempotency key, first half.
     std::uint64_t key_hash2 = 0;
     core::unix_time first_sent{}; ///< The caller's label; the epoch when there is none.
@@ -143,13 +155,16 @@
         not_voter ///< The voter cannot vouch for the time before it started, or is full.
     };
     std::uint64_t claim_id = 0;
+    std::uint32_t attempt = 0;
     verdict result = verdict::not_voter;
+    std::uint64_t holder = 0; ///< Hash of the claim that holds the key; 0 when several do.
 };
 
-/// The sender did not forward the request of this claim and will not.
+/// The sender did not forward the request under this attempt or an earlier one and will not.
 struct claim_release
 {
     std::uint64_t claim_id = 0;
+    std::uint32_t attempt = 0;
     std::uint64_t key_hash = 0;
     std::uint64_t key_hash2 = 0;
 };
@@ -158,23 +173,25 @@
 struct records_request
 {
     std::uint64_t round = 0;
-    std::uint64_t offset = 0;
+    std::uint64_t after = 0; ///< Sequence number of the last record received, 0 for the start.
 };
 
 struct claim_record
 {
     std::uint64_t key_hash = 0;
     std::uint64_t key_hash2 = 0;
-    core::process_id claimer;
+    std::uint64_t claimer = 0; ///< From `hash_of(process_id)`.
     std::uint64_t claim_id = 0;
+    std::uint32_t attempt = 0;
     core::duration age{};
 };
 
 struct records_reply
 {
     std::uint64_t round = 0;
-    std::uint64_t offset = 0;
-    bool voter = false; ///< False when the sender's own records are incomplete.
+    std::uint64_t after = 0; ///< As in the request.
+    std::uint64_t next = 0;  ///< Sequence number to ask for the following page.
+    bool voter = false;      ///< False when the sender's own records are incomplete.
     bool last = false;
     std::vector<claim_record> records;
 };
@@ -184,6 +201,18 @@
                  loan_request, loan_reply, loan_return, permit_request, permit_reply, permit_return,
                  claim_request, claim_reply, claim_release, records_request, records_reply>;
 
+/// Returns the hash that stands for an identity in heartbeats and claim records. Thread safe.
+inline std::uint64_t hash_of(const core::process_id& id)
+{
+    return core::stable_hash(id.vm, id.incarnation);
+}
+
+/// Returns the number of distinct processes in a majority. Thread safe.
+constexpr std::uint32_t majority_of(std::uint32_t max_vms)
+{
+    return max_vms / 2 + 1;
+}
+
 /// A message with its sender; the transport has checked that the sender knows the fleet secret.
 struct message
 {
