--- a/src/fleet/claims.hpp
+++ b/src/fleet/claims.hpp
@@ -5,6 +5,7 @@
 #include "core/random.hpp"
 #include "fleet/messages.hpp"
 
+#include <boost/container/small_vector.hpp>
 #include <boost/json/object.hpp>
 
 #include <deque>
@@ -30,7 +31,7 @@
     core::duration round_timeout = std::chrono::milliseconds(200); ///< Waiting for verdicts.
     core::duration retry_delay = std::chrono::milliseconds(10);    ///< First random delay, doubled.
     core::duration retry_delay_limit = std::chrono::milliseconds(160);
-    std::size_t max_records = 200'000; ///< About 100 bytes each; a full store refuses.
+    std::size_t max_records = 150'000; ///< About 140 bytes each; a full store refuses.
     std::size_t max_claims = 10'000;   ///< Open at once in this process.
     std::size_t max_holders = 4;       ///< Of one key; more block it until they expire.
     std::size_t page_records = 1'000;
@@ -97,12 +98,19 @@
 };
 
 /// What a voter knows of one key. Only a sole holder may be acknowledged again. Several holders
-/// come from copies that differ; then one of them may have a majority.
+/// come from copies that differ; then one of them may have a majority. A holder of zeros stands
+/// for more than `max_holders` and matches no claim.
 struct key_record
 {
-    std::vector<key_holder> holders;
-    core::time_point blocked_until{}; ///< Set when there were more holders than fit.
-    std::uint64_t sequence = 0;       ///< Order of the pages; renewed with each change.
+    boost::container::small_vector<key_holder, 1> holders;
+    std::uint64_t sequence = 0; ///< Order of the pages; renewed with each change.
+};
+
+/// Entry of the order in which pages are sent; out of date when the record has a later sequence.
+struct record_position
+{
+    std::uint64_t sequence = 0;
+    claim_key key;
 };
 
 /// Progress of the copy from one voter.
@@ -135,12 +143,12 @@
 
     voter_standing standing = voter_standing::starting;
     std::unordered_map<claim_key, key_record, claim_key_hash> records;
-    std::map<std::uint64_t, claim_key> by_sequence;
+    std::deque<record_position> order; ///< Ascending by sequence.
     std::uint64_t last_sequence = 0;
+    bool voter_by_age = false;
     std::uint64_t copy_round = 0;
     core::time_point copy_asked{};
     std::map<std::string, copy_source> sources;
-    core::time_point next_sweep{};
     std::uint64_t refused_full = 0;
 };
 
--- a/src/fleet/config_spread.hpp
+++ b/src/fleet/config_spread.hpp
@@ -48,7 +48,7 @@
     core::duration contact_limit = std::chrono::seconds(3); ///< Older contact: poll eagerly.
     /// Longest pause between calls to a service that answers with lower versions. Each such
     /// answer is a whole document.
-    core::duration stale_interval = std::chrono::seconds(8);
+    core::duration stale_interval = std::chrono::seconds(4);
     core::duration call_timeout = std::chrono::seconds(3); ///< Without an answer, a call failed.
     core::duration boot_window = std::chrono::seconds(3);
     core::duration pull_timeout = std::chrono::milliseconds(500);
@@ -176,7 +176,10 @@
 
     bool call_open = false;
     core::time_point call_sent{};
-    core::time_point next_call{};
+    core::time_point next_call{}; ///< No call before.
+    core::time_point next_poll{}; ///< Of a process that does not watch.
+    core::duration call_pause{};  ///< Drawn for this call; applies if it fails or polls eagerly.
+    bool call_watches = false;
     std::uint32_t stale_answers = 0; ///< In a row.
     config_counters counters;
 };
