--- /dev/null
+++ b/apps/zinniactl.cpp
@@ -0,0 +1,108 @@
+// The operator's command: checks and compares configurations, and reads the state of daemons.
+#include "net/operator_commands.hpp"
+
+#include <cxxopts.hpp>
+
+#include <cstdio>
+#include <cstdlib>
+#include <optional>
+
+using namespace zinniaferry;
+
+namespace
+{
+
+constexpr const char* usage = "check [--settings] FILE | diff OLD NEW | state ADDRESS | "
+                              "fleet ADDRESS...";
+constexpr const char* credential_variable = "ZINNIA_ADMIN_CREDENTIAL";
+
+cxxopts::Options make_options()
+{
+    cxxopts::Options options("zinniactl", "Checks configurations and reads the state of daemons.\n"
+                                          "Exit codes: 0; 1 for a difference or a daemon that does "
+                                          "not answer; 2 for wrong input.\n");
+    options.positional_help(usage);
+    options.add_options()("json", "print JSON")("settings", "check settings of a daemon instead")(
+        "credential",
+        std::string("credential of the admin listeners; better set in ") + credential_variable +
+            ", because other users of the machine can read command lines",
+        cxxopts::value<std::string>()->default_value(""))(
+        "timeout-ms", "time for each answer",
+        cxxopts::value<std::uint32_t>()->default_value("5000"))("help", "print this text")(
+        "words", "the command and its arguments", cxxopts::value<std::vector<std::string>>());
+    options.parse_positional({"words"});
+    return options;
+}
+
+net::command_options read_options(const cxxopts::ParseResult& parsed)
+{
+    net::command_options out{
+        .as_json = parsed.count("json") > 0,
+        .credential = parsed["credential"].as<std::string>(),
+        .timeout = std::chrono::milliseconds(parsed["timeout-ms"].as<std::uint32_t>())};
+    if (const char* credential = std::getenv(credential_variable);
+        out.credential.empty() && credential != nullptr)
+    {
+        out.credential = credential;
+    }
+    return out;
+}
+
+// Returns nothing when the words are not a command with its arguments.
+std::optional<net::command_result> run(const std::vector<std::string>& words,
+                                       net::document_kind kind, const net::command_options& options)
+{
+    const std::string command = words.empty() ? std::string() : words.front();
+    if (command == "check" && words.size() == 2)
+    {
+        return net::run_check(words[1], kind, options);
+    }
+    if (command == "diff" && words.size() == 3)
+    {
+        return net::run_diff(words[1], words[2], options);
+    }
+    if (command == "state" && words.size() == 2)
+    {
+        return net::run_state(words[1], options);
+    }
+    if (command == "fleet" && words.size() >= 2)
+    {
+        return net::run_fleet({words.begin() + 1, words.end()}, options);
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options = make_options();
+    try
+    {
+        const cxxopts::ParseResult parsed = options.parse(argc, argv);
+        if (parsed.count("help") > 0)
+        {
+            std::fputs(options.help().c_str(), stdout);
+            return net::exit_good;
+        }
+        const auto words = parsed.count("words") > 0
+                               ? parsed["words"].as<std::vector<std::string>>()
+                               : std::vector<std::string>();
+        const auto kind = parsed.count("settings") > 0 ? net::document_kind::settings
+                                                       : net::document_kind::configuration;
+        const auto result = run(words, kind, read_options(parsed));
+        if (!result)
+        {
+            std::fprintf(stderr, "zinniactl: expected %s\n", usage);
+            return net::exit_wrong_input;
+        }
+        std::fputs(result->output.c_str(), stdout);
+        std::fputs(result->error.c_str(), stderr);
+        return result->exit_code;
+    }
+    catch (const cxxopts::exceptions::exception& error)
+    {
+        std::fprintf(stderr, "zinniactl: %s\n", error.what());
+        return net::exit_wrong_input;
+    }
+}
--- /dev/null
+++ b/src/net/http_get.cpp
@@ -0,0 +1,128 @@
+#include "net/http_get.hpp"
+
+#include "config/address.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <spdlog/fmt/fmt.h>
+
+#include <optional>
+
+namespace zinniaferry::net
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using reason = http_error::reason;
+
+// The steps of one exchange, each started by the end of the one before.
+struct exchange
+{
+    const http_get_options& options;
+    asio::io_context context{1};
+    beast::tcp_stream stream{context};
+    beast::flat_buffer buffer;
+    http::request<http::empty_body> request;
+    http::response_parser<http::string_body> parser;
+    beast::error_code error = make_error_code(beast::error::timeout);
+};
+
+void read_answer(exchange& state)
+{
+    http::async_read(state.stream, state.buffer, state.parser,
+                     [&state](beast::error_code error, std::size_t) { state.error = error; });
+}
+
+void send_request(exchange& state)
+{
+    http::async_write(state.stream, state.request,
+                      [&state](beast::error_code error, std::size_t)
+                      {
+                          state.error = error;
+                          if (!error)
+                          {
+                              read_answer(state);
+                          }
+                      });
+}
+
+void connect(exchange& state, const asio::ip::tcp::endpoint& endpoint)
+{
+    state.stream.async_connect(endpoint,
+                               [&state](beast::error_code error)
+                               {
+                                   state.error = error;
+                                   if (!error)
+                                   {
+                                       send_request(state);
+                                   }
+                               });
+}
+
+reason reason_of(beast::error_code error)
+{
+    if (error == beast::error::timeout)
+    {
+        return reason::timeout;
+    }
+    if (error == http::error::body_limit || error == http::error::header_limit)
+    {
+        return reason::too_large;
+    }
+    const bool is_cut =
+        error == http::error::end_of_stream || error == http::error::partial_message;
+    const bool is_http = error.category() == make_error_code(http::error::end_of_stream).category();
+    return is_http && !is_cut ? reason::malformed : reason::unreachable;
+}
+
+} // namespace
+
+std::string to_string(const http_error& error)
+{
+    static constexpr const char* names[] = {"not an IP number and a port", "unreachable",
+                                            "no answer in time", "the answer is not HTTP",
+                                            "the answer is too large"};
+    return fmt::format("{}: {}{}{}", error.address, names[static_cast<int>(error.why)],
+                       error.detail.empty() ? "" : ": ", error.detail);
+}
+
+core::result<http_answer> http_get(const http_get_options& options)
+{
+    const std::optional<config::ip_address> address = config::parse_address(options.address);
+    if (!address)
+    {
+        return boost::leaf::new_error(
+            http_error{.why = reason::bad_address, .address = options.address});
+    }
+    exchange state{.options = options};
+    state.request.method(http::verb::get);
+    state.request.target(beast::string_view(options.target.data(), options.target.size()));
+    state.request.version(11);
+    state.request.set(http::field::host, options.address);
+    state.request.set(http::field::connection, "close");
+    if (!options.credential.empty())
+    {
+        state.request.set(http::field::authorization, "Bearer " + options.credential);
+    }
+    state.parser.body_limit(options.max_body);
+    // One expiry covers all steps, so that a server cannot prolong the exchange by sending slowly.
+    state.stream.expires_after(options.timeout);
+    connect(state, {asio::ip::make_address(address->ip), address->port});
+    state.context.run();
+    if (state.error)
+    {
+        return boost::leaf::new_error(http_error{.why = reason_of(state.error),
+                                                 .address = options.address,
+                                                 .detail = state.error.message()});
+    }
+    auto& message = state.parser.get();
+    return http_answer{.status = message.result_int(), .body = std::move(message.body())};
+}
+
+} // namespace zinniaferry::net
--- /dev/null
+++ b/src/net/operator_commands.cpp
@@ -0,0 +1,231 @@
+#include "net/operator_commands.hpp"
+
+#include "config/address.hpp"
+#include "config/diff.hpp"
+#include "config/printer.hpp"
+#include "config/reader.hpp"
+#include "net/fleet_report.hpp"
+#include "net/http_get.hpp"
+
+#include <boost/json.hpp>
+#include <spdlog/fmt/fmt.h>
+
+namespace zinniaferry::net
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+constexpr unsigned status_ok = 200;
+constexpr int indent_width = 2;
+
+command_result wrong_input(const std::string& line, json::object details,
+                           const command_options& options)
+{
+    command_result out{.exit_code = exit_wrong_input, .error = line + "\n"};
+    if (options.as_json)
+    {
+        out.output =
+            json::serialize(json::object{{"valid", false}, {"error", std::move(details)}}) + "\n";
+    }
+    return out;
+}
+
+// Runs a command and turns each failure into its exit code.
+template <class Command>
+command_result run(const command_options& options, Command&& command)
+{
+    return boost::leaf::try_handle_all(
+        std::forward<Command>(command),
+        [&](const core::document_error& error)
+        {
+            return wrong_input(core::to_string(error),
+                               {{"file", error.file},
+                                {"path", error.path},
+                                {"value", error.value},
+                                {"expected", error.expected}},
+                               options);
+        },
+        [&](const core::file_error& error) {
+            return wrong_input(core::to_string(error), {{"file", error.file}}, options);
+        },
+        [&](const http_error& error)
+        {
+            const bool is_input = error.why == http_error::reason::bad_address;
+            return command_result{.exit_code = is_input ? exit_wrong_input : exit_difference,
+                                  .error = to_string(error) + "\n"};
+        },
+        []
+        {
+            return command_result{.exit_code = exit_wrong_input,
+                                  .error = "internal fault: an error without a type\n"};
+        });
+}
+
+core::result<config::configuration> load(const std::string& file)
+{
+    BOOST_LEAF_AUTO(text, config::read_text_file(file));
+    return config::read_configuration(text, file);
+}
+
+core::result<command_result> check_settings(const std::string& file, const command_options& options)
+{
+    BOOST_LEAF_AUTO(text, config::read_text_file(file));
+    BOOST_LEAF_AUTO(settings, config::read_settings(text, file));
+    if (options.as_json)
+    {
+        const json::object summary{{"valid", true}, {"vm", settings.vm}};
+        return command_result{.output = json::serialize(summary) + "\n"};
+    }
+    return command_result{.output =
+                              fmt::format("{}: settings of {} are valid\n", file, settings.vm)};
+}
+
+core::result<command_result> check_configuration(const std::string& file,
+                                                 const command_options& options)
+{
+    BOOST_LEAF_AUTO(config, load(file));
+    const std::string digest = core::to_hex(config::digest_of(config));
+    std::size_t servers = 0;
+    for (const config::service& service : config.services)
+    {
+        servers += service.servers.size();
+    }
+    if (options.as_json)
+    {
+        const json::object summary{{"valid", true},
+                                   {"version", config.version},
+                                   {"digest", digest},
+                                   {"accounts", config.accounts.size()},
+                                   {"services", config.services.size()},
+                                   {"servers", servers},
+                                   {"routes", config.routes.size()}};
+        return command_result{.output = json::serialize(summary) + "\n"};
+    }
+    return command_result{
+        .output = fmt::format("{}: version {} is valid: {} accounts, {} services, {} servers, {} "
+                              "routes, digest {}\n",
+                              file, config.version, config.accounts.size(), config.services.size(),
+                              servers, config.routes.size(), digest)};
+}
+
+// Prints a value with one member a line; a dump is read by people first.
+void print_indented(const json::value& value, int depth, std::string& out)
+{
+    const std::string margin(static_cast<std::size_t>(depth * indent_width), ' ');
+    if (const json::object* object = value.if_object(); object != nullptr && !object->empty())
+    {
+        for (const json::key_value_pair& entry : *object)
+        {
+            const std::string_view key(entry.key().data(), entry.key().size());
+            const bool is_leaf = !entry.value().is_structured();
+            out += fmt::format("{}{}:{}", margin, key, is_leaf ? " " : "\n");
+            print_indented(entry.value(), is_leaf ? 0 : depth + 1, out);
+        }
+        return;
+    }
+    if (const json::array* array = value.if_array(); array != nullptr && !array->empty())
+    {
+        for (const json::value& entry : *array)
+        {
+            out += margin + (entry.is_structured() ? "-\n" : "- ");
+            print_indented(entry, entry.is_structured() ? depth + 1 : 0, out);
+        }
+        return;
+    }
+    out += margin + json::serialize(value) + "\n";
+}
+
+core::result<command_result> show_state(const std::string& address, const command_options& options)
+{
+    BOOST_LEAF_AUTO(answer, http_get({.address = address,
+                                      .target = "/state",
+                                      .credential = options.credential,
+                                      .timeout = options.timeout}));
+    json::error_code error;
+    const json::value state = json::parse(answer.body, error);
+    if (answer.status != status_ok || error)
+    {
+        const std::string why = answer.status != status_ok ? fmt::format("status {}", answer.status)
+                                                           : "the answer is not JSON";
+        return command_result{.exit_code = exit_difference,
+                              .error = fmt::format("{}/state: {}\n", address, why)};
+    }
+    command_result out;
+    if (options.as_json)
+    {
+        out.output = json::serialize(state) + "\n";
+    }
+    else
+    {
+        print_indented(state, 0, out.output);
+    }
+    return out;
+}
+
+} // namespace
+
+command_result run_check(const std::string& file, document_kind kind,
+                         const command_options& options)
+{
+    return run(options,
+               [&]
+               {
+                   return kind == document_kind::settings ? check_settings(file, options)
+                                                          : check_configuration(file, options);
+               });
+}
+
+command_result run_diff(const std::string& before, const std::string& after,
+                        const command_options& options)
+{
+    return run(options,
+               [&]() -> core::result<command_result>
+               {
+                   BOOST_LEAF_AUTO(from, load(before));
+                   BOOST_LEAF_AUTO(to, load(after));
+                   const std::vector<config::change> changes = config::diff(from, to);
+                   command_result out{.exit_code = changes.empty() ? exit_good : exit_difference};
+                   if (options.as_json)
+                   {
+                       out.output = json::serialize(config::to_json(changes)) + "\n";
+                       return out;
+                   }
+                   for (const config::change& change : changes)
+                   {
+                       out.output += config::to_string(change) + "\n";
+                   }
+                   return out;
+               });
+}
+
+command_result run_state(const std::string& address, const command_options& options)
+{
+    return run(options, [&] { return show_state(address, options); });
+}
+
+command_result run_fleet(const std::vector<std::string>& addresses, const command_options& options)
+{
+    std::vector<vm_report> reports;
+    reports.reserve(addresses.size());
+    for (const std::string& address : addresses)
+    {
+        if (!config::parse_address(address))
+        {
+            const http_error error{.why = http_error::reason::bad_address, .address = address};
+            return {.exit_code = exit_wrong_input, .error = to_string(error) + "\n"};
+        }
+    }
+    for (const std::string& address : addresses)
+    {
+        reports.push_back(fetch_vm_report(
+            address, {.credential = options.credential, .timeout = options.timeout}));
+    }
+    return {.exit_code = is_uniform(reports) ? exit_good : exit_difference,
+            .output =
+                options.as_json ? json::serialize(to_json(reports)) + "\n" : to_table(reports)};
+}
+
+} // namespace zinniaferry::net
