--- a/test/correctness/config/config_test.cpp
+++ b/test/correctness/config/config_test.cpp
@@ -1,8 +1,17 @@
+#include "config/builder.hpp"
+#include "config/delta.hpp"
+#include "config/diff.hpp"
+#include "config/json_document.hpp"
 #include "config/printer.hpp"
 #include "config/reader.hpp"
+#include "core/random.hpp"
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstdio>
+
 namespace zinniaferry::config
 {
 namespace
@@ -20,6 +29,35 @@
     "routes": [{"prefix": "/exams", "service": "exams", "class": "browse", "timeout_ms": 750}],
 })";
 
+std::string source_file(const std::string& name)
+{
+    return read_text_file(std::string(ZINNIA_SOURCE_DIR) + "/" + name).value();
+}
+
+// A configuration of the given size; names carry `tag` so that two of them share no entry.
+configuration make_configuration(std::size_t services, const std::string& tag = "")
+{
+    configuration out{.version = 1};
+    out.regions.push_back({.name = "r"});
+    out.data_centres.push_back({.name = "dc", .region = "r"});
+    for (std::size_t i = 0; i < services; ++i)
+    {
+        const std::string name = tag + std::to_string(i);
+        out.accounts.push_back(
+            {.name = "a" + name, .keys = {core::sha256(name)}, .rate = 10, .burst = 20});
+        out.services.push_back(
+            {.name = "s" + name,
+             .servers = make_servers(
+                 {.name = "v" + name,
+                  .count = i % 3,
+                  .data_centres = {"dc"},
+                  .ip = "10." + std::to_string(i / 250) + ".0." + std::to_string(i % 250),
+                  .first_port = tag.empty() ? std::uint16_t{1000} : std::uint16_t{2000}})});
+        out.routes.push_back({.prefix = "/" + name, .service = "s" + name});
+    }
+    return out;
+}
+
 // Guards against a field that is read but not printed, or printed but not read.
 TEST(config, canonical_text_reads_back_as_an_equal_configuration)
 {
@@ -32,5 +70,220 @@
     EXPECT_EQ(digest_of(again), digest_of(config));
 }
 
+// Guards against numbers that drift by a rounding error, which would change the digest.
+TEST(config, decimals_survive_printing_and_reading)
+{
+    configuration config = read_configuration(small_configuration, "test").value();
+    core::random_generator random(11);
+    for (int i = 0; i < 500; ++i)
+    {
+        config.accounts[0].rate = static_cast<double>(1000 + random() % 9'999'999'000'000) / 1e6;
+        config.accounts[0].burst = static_cast<double>(1000 + random() % 9'999'000) / 1e3;
+        EXPECT_EQ(read_configuration(print(config), "test").value(), config);
+    }
+}
+
+// Guards against a bound below the 1 MB that the platform holds.
+TEST(config, a_document_of_the_largest_size_is_read)
+{
+    configuration config = make_configuration(2000);
+    const std::size_t room = max_document_bytes - print(config).size();
+    const std::size_t entry = print(config.accounts[0]).size() + 2;
+    for (std::size_t i = 0; i + 1 < room / (entry + 10); ++i)
+    {
+        config.accounts.push_back({.name = "more" + std::to_string(i),
+                                   .keys = {core::sha256("more" + std::to_string(i))},
+                                   .rate = 10,
+                                   .burst = 20});
+    }
+    std::string text = print(config);
+    EXPECT_GT(text.size(), max_document_bytes * 9 / 10);
+    text.resize(max_document_bytes, '\n');
+    EXPECT_EQ(read_configuration(text, "test").value(), config);
+}
+
+// Guards against examples that were printed by an older program or that daemons would refuse.
+TEST(config, committed_examples_are_what_the_programs_print)
+{
+    for (const std::string name : {"kandy", "tanrend"})
+    {
+        const std::string text = source_file("examples/" + name + ".json");
+        const configuration config = read_configuration(text, name).value();
+        EXPECT_EQ(config.accounts.size(), 8U);
+        EXPECT_EQ(config.data_centres.size(), 4U);
+        const std::string program = std::string(ZINNIA_BIN_DIR) + "/" + name;
+        std::FILE* pipe = popen(program.c_str(), "r");
+        ASSERT_NE(pipe, nullptr);
+        std::string printed(text.size() + 1, '\0');
+        printed.resize(std::fread(printed.data(), 1, printed.size(), pipe));
+        EXPECT_EQ(pclose(pipe), 0);
+        EXPECT_EQ(printed, text) << program;
+    }
+}
+
+std::string page_section(const std::string& page, const std::string& heading)
+{
+    const std::size_t start = page.find("\n" + heading + "\n");
+    if (start == std::string::npos)
+    {
+        return {};
+    }
+    return page.substr(start, page.find("\n##", start + 1) - start);
+}
+
+// Guards against a field that operators cannot find in the reference.
+TEST(config, the_reference_page_names_every_field_in_its_section)
+{
+    const std::string page = source_file("docs/configuration.md");
+    const auto expect_row = [&](const std::string& heading, std::string_view field)
+    {
+        const std::string row = "\n| `" + std::string(field) + "` |";
+        EXPECT_NE(page_section(page, heading).find(row), std::string::npos)
+            << heading << " lacks " << field;
+    };
+    for (const section_fields& section : configuration_fields())
+    {
+        for (const std::string_view field : section.names)
+        {
+            expect_row("### `" + std::string(section.section) + "`", field);
+        }
+    }
+    for (const std::string_view field : settings_fields())
+    {
+        expect_row("## Settings", field);
+    }
+}
+
+// Guards against a setting that is ignored, and against changed defaults.
+TEST(config, settings_have_defaults_and_take_every_field)
+{
+    const std::string required =
+        R"({"vm": "vm-1", "data_centre": "north", "region": "hill", "listen": "0.0.0.0:80",
+            "admin_listen": "127.0.0.1:0", "peer_listen": "127.0.0.1:0",
+            "platform": "[::1]:7000", "peer_secret": "0123456789abcdef",
+            "admin_credential": "fedcba9876543210")";
+    settings expected{.vm = "vm-1",
+                      .data_centre = "north",
+                      .region = "hill",
+                      .listen = "0.0.0.0:80",
+                      .admin_listen = "127.0.0.1:0",
+                      .peer_listen = "127.0.0.1:0",
+                      .platform = "[::1]:7000",
+                      .peer_secret = "0123456789abcdef",
+                      .admin_credential = "fedcba9876543210"};
+    EXPECT_EQ(expected.stop_grace, std::chrono::seconds(5));
+    EXPECT_EQ(read_settings(required + "}", "test").value(), expected);
+    expected.level = log_level::warning;
+    expected.format = log_format::json;
+    expected.stop_grace = std::chrono::milliseconds(250);
+    expected.threads = 3;
+    EXPECT_EQ(read_settings(required + R"(, "log_level": "warning", "log_format": "json",
+                                          "stop_grace_ms": 250, "threads": 3})",
+                            "test")
+                  .value(),
+              expected);
+}
+
+// Guards against a published document that gives a key away.
+TEST(config, the_builder_prints_digests_only)
+{
+    deployment options{.regions = {{.name = "r"}}};
+    options.accounts = {{.name = "a", .keys = {"plain-text-of-the-key"}, .rate = 1, .burst = 2}};
+    const configuration config = build(options).value();
+    EXPECT_EQ(config.accounts[0].keys[0], core::sha256("plain-text-of-the-key"));
+    EXPECT_EQ(print(config).find("plain-text"), std::string::npos);
+}
+
+// Guards against changes that operators would not see before they publish.
+TEST(config, diff_tells_each_change_once)
+{
+    const configuration before = read_configuration(small_configuration, "test").value();
+    EXPECT_TRUE(diff(before, before).empty());
+    configuration after = before;
+    after.version = 8;
+    after.data_centres[0].in_service = true;
+    after.accounts[0].rate = 20;
+    after.accounts[0].keys = {core::digest{0xAB}};
+    after.services.push_back({.name = "term", .servers = {after.services[0].servers[0]}});
+    after.services[0].servers.clear();
+    after.routes[0].prefix = "/exam";
+    std::vector<std::string> lines;
+    for (const change& one : diff(before, after))
+    {
+        lines.push_back(to_string(one));
+    }
+    EXPECT_THAT(
+        lines,
+        testing::ElementsAre(
+            "configuration: version 7 -> 8", "data centre north: state out -> in",
+            "account school-3: rate 0.1 -> 20", "account school-3: key 9f86d081884c removed",
+            "account school-3: key ab0000000000 added",
+            "service term: added (slots 2, cold_allowance 1, max_connections 250)",
+            "server exams-1: service exams -> term",
+            "route /exams: removed (service exams, class browse, idempotent true, open false, "
+            "timeout 750 ms)",
+            "route /exam: added (service exams, class browse, idempotent true, open false, "
+            "timeout 750 ms)"));
+}
+
+template <class Entry>
+void mutate(std::vector<Entry>& entries, const std::vector<Entry>& others,
+            core::random_generator& random)
+{
+    const std::size_t removals = random() % 4;
+    for (std::size_t i = 0; i < removals && !entries.empty(); ++i)
+    {
+        entries.erase(entries.begin() +
+                      static_cast<std::ptrdiff_t>(core::uniform_index(random, entries.size())));
+    }
+    for (const Entry& other : others)
+    {
+        if (random() % 4 == 0)
+        {
+            entries.insert(entries.begin() + static_cast<std::ptrdiff_t>(
+                                                 core::uniform_index(random, entries.size() + 1)),
+                           other);
+        }
+    }
+    if (random() % 3 == 0)
+    {
+        std::shuffle(entries.begin(), entries.end(), random);
+    }
+}
+
+// Guards against a delta that loses the order, a removal or an entry between two new ones.
+TEST(config, deltas_give_the_exact_text)
+{
+    core::random_generator random(5);
+    const configuration others = make_configuration(6, "x");
+    for (int round = 0; round < 300; ++round)
+    {
+        const configuration before = make_configuration(random() % 8);
+        configuration after = before;
+        after.version = 1 + random() % 3;
+        mutate(after.accounts, others.accounts, random);
+        mutate(after.services, others.services, random);
+        mutate(after.routes, others.routes, random);
+        if (!after.accounts.empty())
+        {
+            after.accounts.front().rate += 1;
+        }
+        const std::string delta = make_delta(print(before), print(after)).value();
+        ASSERT_EQ(apply_delta(print(before), delta).value(), print(after)) << "round " << round;
+    }
+}
+
+// Guards against deltas that grow with the document: a daemon has 2 KB/s for all control traffic.
+TEST(config, the_delta_of_one_key_does_not_grow_with_the_document)
+{
+    configuration config = make_configuration(1000);
+    const std::string before = print(config);
+    config.version = 2;
+    config.accounts[500].keys[0] = core::sha256("another key");
+    const std::string delta = make_delta(before, print(config)).value();
+    EXPECT_LT(delta.size(), 512U);
+    EXPECT_EQ(apply_delta(before, delta).value(), print(config));
+}
+
 } // namespace
 } // namespace zinniaferry::config
--- /dev/null
+++ b/test/error/config/config_error_test.cpp
@@ -0,0 +1,360 @@
+#include "config/builder.hpp"
+#include "config/delta.hpp"
+#include "config/json_document.hpp"
+#include "config/printer.hpp"
+#include "config/reader.hpp"
+#include "core/random.hpp"
+
+#include <gtest/gtest.h>
+
+#include <limits>
+
+namespace zinniaferry::config
+{
+namespace
+{
+
+constexpr const char* digest_text =
+    "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08";
+
+const std::string good_configuration = std::string(R"({
+"version":1,"max_vms":20,"pool_groups":8,"lease_term_ms":10000,"idempotency_window_ms":120000,
+"regions":[{"name":"r","weight":1}],
+"data_centres":[{"name":"dc","region":"r","state":"in"}],
+"accounts":[{"name":"a","keys":["KEY"],"rate":10,"burst":20,"seat_fraction":0.5},
+{"name":"b","keys":[],"rate":10,"burst":20}],
+"services":[{"name":"s","slots":2,"cold_allowance":1,"max_connections":250,"servers":[
+{"name":"s1","data_centre":"dc","address":"127.0.0.1:1","leaving":false},
+{"name":"s2","data_centre":"dc","address":"127.0.0.1:2"}]}],
+"routes":[{"prefix":"/s","service":"s","class":"order","idempotent":false,"open":true,"timeout_ms":9}]
+})");
+
+const std::string good_settings = R"({"vm":"v","data_centre":"dc","region":"r",
+"listen":"127.0.0.1:1","admin_listen":"127.0.0.1:2","peer_listen":"127.0.0.1:3",
+"platform":"127.0.0.1:4","peer_secret":"secret-of-the-fleet","admin_credential":"secret-of-the-admin",
+"log_level":"info","log_format":"text","stop_grace_ms":1,"threads":1})";
+
+std::string replaced(std::string text, const std::string& from, const std::string& to)
+{
+    const std::size_t at = text.find(from);
+    EXPECT_NE(at, std::string::npos) << from;
+    return at == std::string::npos ? text : text.replace(at, from.size(), to);
+}
+
+std::string configuration_text()
+{
+    return replaced(good_configuration, "KEY", digest_text);
+}
+
+// Runs a reader and gives its document_error, whose path is "no error" when there is none.
+template <class Read>
+core::document_error error_of(Read&& read)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> core::result<core::document_error>
+        {
+            BOOST_LEAF_CHECK(read());
+            return core::document_error{.path = "no error"};
+        },
+        [](const core::document_error& error) { return error; },
+        [] { return core::document_error{.path = "untyped error"}; });
+}
+
+struct wrong_document
+{
+    const char* from;
+    const char* to;
+    const char* path; ///< That the error must name.
+};
+
+constexpr wrong_document wrong_configurations[] = {
+    {"\"version\":1", "\"version\":0", "$.version"},
+    {"\"version\":1", "\"version\":9007199254740992", "$.version"},
+    {"\"version\":1", "\"version\":1.0", "$.version"},
+    {"\"version\":1,", "", "$.version"},
+    {"\"max_vms\":20", "\"max_vms\":4097", "$.max_vms"},
+    {"\"max_vms\":20", "\"max_vms\":-1", "$.max_vms"},
+    {"\"max_vms\":20", "\"max_vms\":\"20\"", "$.max_vms"},
+    {"\"max_vms\":20", "\"max_vm\":20", "$.max_vm"},
+    {"\"max_vms\":20", "\"max_vms\":20,\"max_vms\":21", "$.max_vms"},
+    {"\"max_vms\":20", "\"max_vms\":251", "$.services[0].max_connections"},
+    {"\"pool_groups\":8", "\"pool_groups\":0", "$.pool_groups"},
+    {"\"lease_term_ms\":10000", "\"lease_term_ms\":99", "$.lease_term_ms"},
+    {"120000", "86400001", "$.idempotency_window_ms"},
+    {"\"regions\":[", "\"regions\":[7,", "$.regions[0]"},
+    {"\"weight\":1", "\"weight\":0", "$.regions[0].weight"},
+    {"\"weight\":1", "\"weight\":1e400", "$.regions[0].weight"},
+    {"\"name\":\"r\"", "\"name\":\"\"", "$.regions[0].name"},
+    {"\"name\":\"r\"", "\"name\":\"r\\n\"", "$.regions[0].name"},
+    {"\"region\":\"r\"", "\"region\":\"q\"", "$.data_centres[0].region"},
+    {"\"state\":\"in\"", "\"state\":\"on\"", "$.data_centres[0].state"},
+    {"\"name\":\"b\"", "\"name\":\"a\"", "$.accounts[1].name"},
+    {"\"keys\":[]", "\"keys\":{}", "$.accounts[1].keys"},
+    {"\"keys\":[]", "\"keys\":[1]", "$.accounts[1].keys[0]"},
+    {"\"keys\":[]", "\"keys\":[\"9f86\"]", "$.accounts[1].keys[0]"},
+    {"\"keys\":[]", "\"keys\":[\"1\",\"2\",\"3\"]", "$.accounts[1].keys"},
+    // The same digest in capitals is the same key.
+    {"\"keys\":[]",
+     "\"keys\":[\"9F86D081884C7D659A2FEAA0C55AD015A3BF4F1B2B0B822CD15D6C15B0F00A08\"]",
+     "$.accounts[1].keys[0]"},
+    {"\"rate\":10", "\"rate\":-1", "$.accounts[0].rate"},
+    {"\"rate\":10", "\"rate\":10000001", "$.accounts[0].rate"},
+    {"\"rate\":10", "\"rate\":0.1234567", "$.accounts[0].rate"},
+    {"\"burst\":20", "\"burst\":0.5", "$.accounts[0].burst"},
+    {"\"burst\":20", "\"burst\":null", "$.accounts[0].burst"},
+    {"0.5", "1.5", "$.accounts[0].seat_fraction"},
+    {"\"slots\":2", "\"slots\":0", "$.services[0].slots"},
+    {"\"cold_allowance\":1", "\"cold_allowance\":10001", "$.services[0].cold_allowance"},
+    {"\"max_connections\":250", "\"max_connections\":19", "$.services[0].max_connections"},
+    {"\"name\":\"s2\"", "\"name\":\"s1\"", "$.services[0].servers[1].name"},
+    {"\"data_centre\":\"dc\"", "\"data_centre\":\"x\"", "$.services[0].servers[0].data_centre"},
+    {"127.0.0.1:2", "127.0.0.1:1", "$.services[0].servers[1].address"},
+    {"127.0.0.1:2", "127.0.0.1:0", "$.services[0].servers[1].address"},
+    {"127.0.0.1:2", "127.0.0.1:65536", "$.services[0].servers[1].address"},
+    {"127.0.0.1:2", "127.0.0.1:02", "$.services[0].servers[1].address"},
+    {"127.0.0.1:2", "localhost:2", "$.services[0].servers[1].address"},
+    {"127.0.0.1:2", "::1:2", "$.services[0].servers[1].address"},
+    {"\"leaving\":false", "\"leaving\":0", "$.services[0].servers[0].leaving"},
+    {"\"prefix\":\"/s\"", "\"prefix\":\"s\"", "$.routes[0].prefix"},
+    {"\"prefix\":\"/s\"", "\"prefix\":\"/s?\"", "$.routes[0].prefix"},
+    {"\"prefix\":\"/s\"", "\"prefix\":\"/\\\"\"", "$.routes[0].prefix"},
+    {"\"service\":\"s\"", "\"service\":\"t\"", "$.routes[0].service"},
+    {"\"class\":\"order\"", "\"class\":\"orders\"", "$.routes[0].class"},
+    {"\"class\":\"order\",", "", "$.routes[0].class"},
+    {"\"open\":true", "\"open\":1", "$.routes[0].open"},
+    {"\"open\":true", "\"open\":true,\"opened\":true", "$.routes[0].opened"},
+    {"\"timeout_ms\":9", "\"timeout_ms\":0", "$.routes[0].timeout_ms"},
+    {"\"timeout_ms\":9", "\"timeout_ms\":9,\"\\u006fpen\":false", "$.routes[0].open"},
+    {"\"timeout_ms\":9}", "\"timeout_ms\":9", "$"},
+    {"\n})", "\n}}", "$"},
+};
+
+// Guards against a wrong document that is accepted, or whose error sends operators elsewhere.
+TEST(config_error, names_the_path_in_a_wrong_configuration)
+{
+    const std::string good = configuration_text();
+    EXPECT_EQ(error_of([&] { return read_configuration(good, "f"); }).path, "no error");
+    for (const wrong_document& wrong : wrong_configurations)
+    {
+        const std::string from = std::string(wrong.from) == "\n})" ? "\n}" : wrong.from;
+        const std::string text = replaced(good, from, wrong.to);
+        const auto error = error_of([&] { return read_configuration(text, "f"); });
+        EXPECT_EQ(error.path, wrong.path) << wrong.to;
+        EXPECT_EQ(error.file, "f") << wrong.to;
+        EXPECT_FALSE(error.value.empty() || error.expected.empty()) << wrong.to;
+    }
+}
+
+constexpr wrong_document wrong_settings[] = {
+    {"\"vm\":\"v\"", "\"vm\":\"v w\"", "$.vm"},
+    {"\"vm\":\"v\",", "", "$.vm"},
+    {"\"vm\":\"v\"", "\"vm\":\"v\",\"colour\":1", "$.colour"},
+    {"127.0.0.1:1", "127.0.0.1", "$.listen"},
+    {"127.0.0.1:3", "127.0.0.1:1", "$.peer_listen"},
+    {"127.0.0.1:4", "127.0.0.1:0", "$.platform"},
+    {"secret-of-the-fleet", "secret-of-the", "$.peer_secret"},
+    {"\"secret-of-the-admin\"", "[\"secret-of-the-admin\"]", "$.admin_credential"},
+    {"secret-of-the-admin", "secret-of-the\\nadmin", "$.admin_credential"},
+    {"\"info\"", "\"loud\"", "$.log_level"},
+    {"\"text\"", "7", "$.log_format"},
+    {"\"stop_grace_ms\":1", "\"stop_grace_ms\":600001", "$.stop_grace_ms"},
+    {"\"threads\":1", "\"threads\":0", "$.threads"},
+};
+
+// Guards against wrong settings that start a daemon, and against secrets in messages and logs.
+TEST(config_error, names_the_path_in_wrong_settings_but_no_secret)
+{
+    EXPECT_EQ(error_of([&] { return read_settings(good_settings, "f"); }).path, "no error");
+    for (const wrong_document& wrong : wrong_settings)
+    {
+        const std::string text = replaced(good_settings, wrong.from, wrong.to);
+        const auto error = error_of([&] { return read_settings(text, "f"); });
+        EXPECT_EQ(error.path, wrong.path) << wrong.to;
+        EXPECT_EQ(core::to_string(error).find("secret-of"), std::string::npos) << wrong.to;
+    }
+}
+
+// Guards against a key that ends up in a log because it was put where its digest belongs.
+TEST(config_error, shows_no_key_that_was_put_in_place_of_its_digest)
+{
+    const std::string text = replaced(good_configuration, "KEY", "the-key-itself");
+    const auto error = error_of([&] { return read_configuration(text, "f"); });
+    EXPECT_EQ(error.path, "$.accounts[0].keys[0]");
+    EXPECT_EQ(core::to_string(error).find("the-key"), std::string::npos);
+}
+
+// Guards against documents that the platform or a peer could not carry.
+TEST(config_error, refuses_a_document_above_the_bound)
+{
+    const std::string good = configuration_text();
+    const std::string padding(max_document_bytes - good.size(), ' ');
+    EXPECT_EQ(error_of([&] { return read_configuration(good + padding, "f"); }).path, "no error");
+    EXPECT_EQ(error_of([&] { return read_configuration(good + padding + " ", "f"); }).path, "$");
+}
+
+// Guards against a text within the bound whose canonical text, which peers pass on, is above it.
+TEST(config_error, refuses_a_document_whose_canonical_text_is_above_the_bound)
+{
+    std::string services;
+    while (services.size() + configuration_text().size() < max_document_bytes - 100)
+    {
+        services += R"({"name":"t)" + std::to_string(services.size()) + R"(","servers":[]},)";
+    }
+    const std::string text =
+        replaced(configuration_text(), "\"services\":[", "\"services\":[" + services);
+    ASSERT_LE(text.size(), max_document_bytes);
+    EXPECT_EQ(error_of([&] { return read_configuration(text, "f"); }).path, "$");
+}
+
+// Guards against a stack overflow by a document of opening brackets.
+TEST(config_error, refuses_deep_nesting)
+{
+    EXPECT_EQ(error_of([] { return read_configuration(std::string(100000, '['), "f"); }).path, "$");
+}
+
+std::string mutated(std::string text, core::random_generator& random)
+{
+    static constexpr std::string_view letters = "{}[]\",:0-9e.\\/*tfn\x01\xFF ";
+    const std::size_t changes = 1 + random() % 3;
+    for (std::size_t i = 0; i < changes; ++i)
+    {
+        const std::size_t at = core::uniform_index(random, text.size());
+        const std::size_t length = std::min<std::size_t>(random() % 20, text.size() - at);
+        const char letter = letters[core::uniform_index(random, letters.size())];
+        switch (random() % 4)
+        {
+        case 0:
+            text[at] = letter;
+            break;
+        case 1:
+            text.insert(at, 1, letter);
+            break;
+        case 2:
+            text.erase(at, std::min(length, text.size() - 1));
+            break;
+        default:
+            text.insert(core::uniform_index(random, text.size()), text.substr(at, length));
+        }
+    }
+    return text;
+}
+
+// Guards against crashes, errors without a path, and accepted documents that do not survive
+// printing. The sanitizers make reads out of bounds fail here.
+TEST(config_error, mutated_documents_are_refused_or_survive_printing)
+{
+    core::random_generator random(20250);
+    int accepted = 0;
+    for (int round = 0; round < 4000; ++round)
+    {
+        const std::string text = mutated(configuration_text(), random);
+        const auto error = error_of(
+            [&]() -> core::result<void>
+            {
+                BOOST_LEAF_AUTO(config, read_configuration(text, "f"));
+                EXPECT_EQ(read_configuration(print(config), "f").value(), config) << text;
+                ++accepted;
+                return {};
+            });
+        EXPECT_TRUE(error.path == "no error" || error.path.starts_with("$")) << text;
+        const auto in_settings =
+            error_of([&] { return read_settings(mutated(good_settings, random), "f"); });
+        EXPECT_TRUE(in_settings.path == "no error" || in_settings.path.starts_with("$"));
+    }
+    EXPECT_GT(accepted, 0);
+    EXPECT_LT(accepted, 4000);
+}
+
+// Guards against numbers that have no JSON form, short keys and times that printing would change.
+TEST(config_error, the_builder_names_the_path_in_a_wrong_deployment)
+{
+    const auto path_of = [](const deployment& options)
+    {
+        return error_of([&] { return build(options); }).path;
+    };
+    const account_options good{
+        .name = "a", .keys = {"a-key-of-good-length"}, .rate = 1, .burst = 2};
+    EXPECT_EQ(path_of({.accounts = {good}}), "no error");
+    account_options wrong = good;
+    wrong.keys = {"short"};
+    EXPECT_EQ(path_of({.accounts = {wrong}}), "$.accounts[0].keys[0]");
+    wrong = good;
+    wrong.rate = std::numeric_limits<double>::quiet_NaN();
+    EXPECT_EQ(path_of({.accounts = {wrong}}), "$.accounts[0].rate");
+    wrong.rate = 0;
+    EXPECT_EQ(path_of({.accounts = {good, wrong}}), "$.accounts[1].name");
+    EXPECT_EQ(path_of({.lease_term = std::chrono::microseconds(1'000'500)}), "$");
+    EXPECT_EQ(path_of({.regions = {{.name = "r", .weight = HUGE_VAL}}}), "$.regions[0].weight");
+}
+
+template <class Apply>
+std::string reason_of(Apply&& apply)
+{
+    static constexpr const char* names[] = {"not_canonical", "malformed", "wrong_base",
+                                            "unknown_entry", "wrong_digest"};
+    return boost::leaf::try_handle_all(
+        [&]() -> core::result<std::string>
+        {
+            BOOST_LEAF_CHECK(apply());
+            return std::string("no error");
+        },
+        [](const delta_error& error) { return std::string(names[static_cast<int>(error.why)]); },
+        [](const core::document_error&) { return std::string("document_error"); },
+        [] { return std::string("untyped error"); });
+}
+
+// Guards against a delta that is applied to another base or gives another text than was meant.
+TEST(config_error, wrong_deltas_are_refused_with_their_reason)
+{
+    configuration config = read_configuration(configuration_text(), "f").value();
+    const std::string base = print(config);
+    config.version = 2;
+    config.accounts[0].rate = 11;
+    config.accounts.pop_back();
+    const std::string target = print(config);
+    const std::string delta = make_delta(base, target).value();
+    const auto apply = [&](const std::string& text, const std::string& changes)
+    {
+        return reason_of([&] { return apply_delta(text, changes); });
+    };
+    EXPECT_EQ(apply(base, delta), "no error");
+    EXPECT_EQ(apply(target, delta), "wrong_base");
+    EXPECT_EQ(apply(base, replaced(delta, ":11,", ":12,")), "wrong_digest");
+    EXPECT_EQ(apply(base, replaced(delta, "\"remove\":[\"b\"]", "\"remove\":[\"c\"]")),
+              "unknown_entry");
+    EXPECT_EQ(apply(base, replaced(delta, "\"remove\":[\"b\"]", "\"order\":[\"b\",\"b\"]")),
+              "unknown_entry");
+    EXPECT_EQ(apply(base, replaced(delta, "[\"b\"]", "7")), "malformed");
+    EXPECT_EQ(apply(base, "{}"), "malformed");
+    EXPECT_EQ(apply(base, "{"), "document_error");
+    EXPECT_EQ(apply(configuration_text(), delta), "not_canonical");
+    EXPECT_EQ(reason_of([&] { return make_delta(base, "{}"); }), "not_canonical");
+}
+
+// Guards against crashes and endless loops on texts from a faulty peer.
+TEST(config_error, mutated_deltas_and_bases_never_give_another_text)
+{
+    configuration config = read_configuration(configuration_text(), "f").value();
+    const std::string base = print(config);
+    config.accounts[0].rate = 11;
+    config.routes.clear();
+    const std::string target = print(config);
+    const std::string delta = make_delta(base, target).value();
+    core::random_generator random(77);
+    for (int round = 0; round < 4000; ++round)
+    {
+        const bool in_base = round % 2 == 0;
+        const std::string text = in_base ? mutated(base, random) : base;
+        const std::string changes = in_base ? delta : mutated(delta, random);
+        reason_of(
+            [&]() -> core::result<void>
+            {
+                BOOST_LEAF_AUTO(result, apply_delta(text, changes));
+                EXPECT_EQ(result, target) << changes;
+                return {};
+            });
+    }
+}
+
+} // namespace
+} // namespace zinniaferry::config
