--- a/src/net/operator_commands.cpp
+++ b/src/net/operator_commands.cpp
@@ -111,6 +111,15 @@
                               servers, config.routes.size(), digest)};
 }
 
+// An empty list or object stands on the line of its name, like a number.
+bool is_on_one_line(const json::value& value)
+{
+    const json::object* object = value.if_object();
+    const json::array* array = value.if_array();
+    return !value.is_structured() || (object != nullptr && object->empty()) ||
+           (array != nullptr && array->empty());
+}
+
 // Prints a value with one member a line; a dump is read by people first.
 void print_indented(const json::value& value, int depth, std::string& out)
 {
@@ -120,7 +129,7 @@
         for (const json::key_value_pair& entry : *object)
         {
             const std::string_view key(entry.key().data(), entry.key().size());
-            const bool is_leaf = !entry.value().is_structured();
+            const bool is_leaf = is_on_one_line(entry.value());
             out += fmt::format("{}{}:{}", margin, key, is_leaf ? " " : "\n");
             print_indented(entry.value(), is_leaf ? 0 : depth + 1, out);
         }
@@ -130,8 +139,9 @@
     {
         for (const json::value& entry : *array)
         {
-            out += margin + (entry.is_structured() ? "-\n" : "- ");
-            print_indented(entry, entry.is_structured() ? depth + 1 : 0, out);
+            const bool is_leaf = is_on_one_line(entry);
+            out += margin + (is_leaf ? "- " : "-\n");
+            print_indented(entry, is_leaf ? 0 : depth + 1, out);
         }
         return;
     }
--- /dev/null
+++ b/test/correctness/net/operator_commands_test.cpp
@@ -0,0 +1,86 @@
+#include "net/operator_commands.hpp"
+
+#include "net/fleet_report.hpp"
+#include "support/canned_server.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace zinniaferry::net
+{
+namespace
+{
+
+using testing::HasSubstr;
+
+const std::string source = ZINNIA_SOURCE_DIR;
+
+constexpr const char* metrics = "# TYPE zinnia_requests_total counter\n"
+                                "zinnia_requests_total{class=\"order\",path=\"a } b\"} 40\n"
+                                "zinnia_requests_total{class=\"browse\"} 2.0 1700000000\n"
+                                "zinnia_requests_total_other 1000\n"
+                                "zinnia_refusals_total 3\n";
+
+std::map<std::string, std::string> admin_answers(int version)
+{
+    return {{"/v1/configuration",
+             test::http_text(R"({"version":)" + std::to_string(version) + R"(,"ready":true})")},
+            {"/v1/fleet", test::http_text(R"({"peers":{"a":{"state":"alive"},
+                                             "b":{"state":"suspect"},"c":{"state":"alive"}}})")},
+            {"/metrics", test::http_text(metrics)}};
+}
+
+// Guards against scripts that publish a wrong configuration because the exit code was 0.
+TEST(operator_commands, check_and_diff_exit_with_the_stated_codes)
+{
+    const command_options options;
+    const command_options json{.as_json = true};
+    const std::string kandy = source + "/examples/kandy.json";
+    const std::string tanrend = source + "/examples/tanrend.json";
+    const auto configuration = document_kind::configuration;
+    EXPECT_EQ(run_check(kandy, configuration, options).exit_code, exit_good);
+    EXPECT_THAT(run_check(kandy, configuration, json).output, HasSubstr("\"servers\":36"));
+    const command_result wrong = run_check(source + "/charts/request.json", configuration, json);
+    EXPECT_EQ(wrong.exit_code, exit_wrong_input);
+    EXPECT_THAT(wrong.output, HasSubstr("\"valid\":false"));
+    EXPECT_THAT(wrong.error, HasSubstr("request.json: $."));
+    EXPECT_EQ(run_check(kandy, document_kind::settings, options).exit_code, exit_wrong_input);
+    EXPECT_EQ(run_check("no-such-file", configuration, options).exit_code, exit_wrong_input);
+    EXPECT_EQ(run_diff(kandy, kandy, options).exit_code, exit_good);
+    EXPECT_EQ(run_diff(kandy, kandy, json).output, "[]\n");
+    const command_result differ = run_diff(kandy, tanrend, options);
+    EXPECT_EQ(differ.exit_code, exit_difference);
+    EXPECT_THAT(differ.output, HasSubstr("data centre buda: added (region hungary, state in)\n"));
+}
+
+// Guards against a credential that is not sent, and against a dump that cannot be read.
+TEST(operator_commands, state_sends_the_credential_and_shows_the_dump)
+{
+    test::canned_server server(
+        {{"/state",
+          test::http_text(R"({"limits":{"accounts":[{"name":"a"}],"idle":[]},"vm":"v"})")}},
+        1);
+    const command_result shown = run_state(server.address(), {.credential = "the-credential"});
+    EXPECT_EQ(shown.exit_code, exit_good) << shown.error;
+    EXPECT_EQ(shown.output,
+              "limits:\n  accounts:\n    -\n      name: \"a\"\n  idle: []\nvm: \"v\"\n");
+    EXPECT_THAT(server.requests(), HasSubstr("Authorization: Bearer the-credential\r\n"));
+}
+
+// Guards against a table that counts suspect VMs, other metrics, or hides a VM that is behind.
+TEST(operator_commands, fleet_shows_a_line_for_each_daemon)
+{
+    test::canned_server first(admin_answers(7), 6);
+    test::canned_server second(admin_answers(8), 3);
+    const command_options json{.as_json = true};
+    const command_result same = run_fleet({first.address()}, json);
+    EXPECT_EQ(same.exit_code, exit_good);
+    EXPECT_EQ(same.output, R"([{"address":")" + first.address() +
+                               R"(","version":7,"vms_seen":3,"requests":42,"refusals":3}])" + "\n");
+    const command_result behind = run_fleet({first.address(), second.address()}, {});
+    EXPECT_EQ(behind.exit_code, exit_difference);
+    EXPECT_THAT(behind.output, testing::ContainsRegex(second.address() + " +8 +3 +42 +3\n"));
+}
+
+} // namespace
+} // namespace zinniaferry::net
--- /dev/null
+++ b/test/error/net/http_get_error_test.cpp
@@ -0,0 +1,80 @@
+#include "net/http_get.hpp"
+
+#include "net/operator_commands.hpp"
+#include "support/canned_server.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace zinniaferry::net
+{
+namespace
+{
+
+using reason = http_error::reason;
+
+// Precondition: the exchange fails; a success is reported as a reason that no test expects.
+std::optional<reason> reason_of(const http_get_options& options)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> core::result<std::optional<reason>>
+        {
+            BOOST_LEAF_CHECK(http_get(options));
+            return std::optional<reason>();
+        },
+        [](const http_error& error) { return std::optional<reason>(error.why); },
+        [] { return std::optional<reason>(); });
+}
+
+std::string unused_address()
+{
+    boost::asio::io_context context;
+    const boost::asio::ip::tcp::acceptor acceptor(context,
+                                                  {boost::asio::ip::address_v4::loopback(), 0});
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+// Guards against an answer that was cut short and is taken for a whole one.
+TEST(http_get_error, tells_why_there_is_no_whole_answer)
+{
+    test::canned_server server({{"/cut", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"},
+                                {"/wrong", "SSH-2.0-OpenSSH\r\n\r\n"},
+                                {"/large", test::http_text("123456789")}},
+                               3);
+    EXPECT_EQ(reason_of({.address = "localhost:80", .target = "/"}), reason::bad_address);
+    EXPECT_EQ(reason_of({.address = unused_address(), .target = "/"}), reason::unreachable);
+    EXPECT_EQ(reason_of({.address = server.address(), .target = "/cut"}), reason::unreachable);
+    EXPECT_EQ(reason_of({.address = server.address(), .target = "/wrong"}), reason::malformed);
+    EXPECT_EQ(reason_of({.address = server.address(), .target = "/large", .max_body = 8}),
+              reason::too_large);
+}
+
+// Guards against a command that hangs on a daemon that accepts and never answers.
+TEST(http_get_error, ends_when_no_answer_comes)
+{
+    test::canned_server server({{"/silent", ""}}, 1);
+    EXPECT_EQ(reason_of({.address = server.address(),
+                         .target = "/silent",
+                         .timeout = std::chrono::milliseconds(30)}),
+              reason::timeout);
+}
+
+// Guards against exit code 0 for a daemon that refuses the credential or does not answer.
+TEST(http_get_error, commands_exit_with_the_stated_codes)
+{
+    test::canned_server server({{"/state", test::http_text("{}", "401 Unauthorized")},
+                                {"/v1/configuration", test::http_text("{}", "401 Unauthorized")}},
+                               2);
+    EXPECT_EQ(run_state(server.address(), {}).exit_code, exit_difference);
+    const std::string unused = unused_address();
+    const command_result fleet = run_fleet({unused, server.address()}, {});
+    EXPECT_EQ(fleet.exit_code, exit_difference);
+    EXPECT_THAT(fleet.output, testing::HasSubstr("unreachable"));
+    EXPECT_THAT(fleet.output, testing::HasSubstr("found 401"));
+    EXPECT_EQ(run_state(unused, {}).exit_code, exit_difference);
+    EXPECT_EQ(run_state("here", {}).exit_code, exit_wrong_input);
+    EXPECT_EQ(run_fleet({unused, "here"}, {}).exit_code, exit_wrong_input);
+}
+
+} // namespace
+} // namespace zinniaferry::net
--- /dev/null
+++ b/test/support/canned_server.hpp
@@ -0,0 +1,101 @@
+/// A listener on loopback for tests that answers each request with a prepared text.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+
+#include <sys/socket.h>
+
+#include <map>
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace zinniaferry::test
+{
+
+/// Serves `connections` connections one after another and then ends by itself. An answer that is
+/// empty leaves the request unanswered until the caller closes.
+class canned_server
+{
+public:
+    canned_server(std::map<std::string, std::string> answers, int connections)
+        : acceptor(context, {boost::asio::ip::address_v4::loopback(), 0}),
+          thread(
+              [this, answers = std::move(answers), connections]
+              {
+                  for (int i = 0; i < connections; ++i)
+                  {
+                      serve_one(answers);
+                  }
+              })
+    {
+    }
+
+    ~canned_server() { stop(); }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    }
+
+    /// Stops accepting, waits for the connection that is served, and returns the text of all
+    /// requests.
+    std::string requests()
+    {
+        stop();
+        return received;
+    }
+
+private:
+    // Shutting the listener down wakes an accept that still waits, so that a test that sends fewer
+    // requests than planned fails instead of hanging.
+    void stop()
+    {
+        if (thread.joinable())
+        {
+            ::shutdown(acceptor.native_handle(), SHUT_RDWR);
+            thread.join();
+        }
+    }
+
+    void serve_one(const std::map<std::string, std::string>& answers)
+    {
+        boost::system::error_code error;
+        boost::asio::ip::tcp::socket socket = acceptor.accept(error);
+        if (error)
+        {
+            return;
+        }
+        boost::asio::streambuf buffer;
+        boost::asio::read_until(socket, buffer, "\r\n\r\n", error);
+        const std::string request(static_cast<const char*>(buffer.data().data()), buffer.size());
+        received += request;
+        const std::size_t start = request.find(' ') + 1;
+        const auto found = answers.find(request.substr(start, request.find(' ', start) - start));
+        if (found == answers.end() || found->second.empty())
+        {
+            char byte = 0;
+            socket.read_some(boost::asio::buffer(&byte, 1), error);
+            return;
+        }
+        boost::asio::write(socket, boost::asio::buffer(found->second), error);
+    }
+
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::string received;
+    std::thread thread;
+};
+
+/// Returns an HTTP answer with that body.
+inline std::string http_text(const std::string& body, const std::string& status = "200 OK")
+{
+    return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\nConnection: close\r\n\r\n" + body;
+}
+
+} // namespace zinniaferry::test
