--- /dev/null
+++ b/src/load/client.cpp
@@ -0,0 +1,176 @@
+#include "load/client.hpp"
+
+#include "stand_in/answer.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+
+namespace zinniaferry::load
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+namespace json = boost::json;
+using asio::ip::tcp;
+
+constexpr std::uint64_t max_answer_bytes = std::uint64_t{16} << 20U;
+constexpr auto tuple_awaitable = asio::as_tuple(asio::use_awaitable);
+
+// An idle connection must have nothing to read: bytes would belong to nobody, and an end means
+// that the other side has closed.
+bool is_usable(beast::tcp_stream& stream)
+{
+    char byte = 0;
+    boost::system::error_code error;
+    stream.socket().non_blocking(true, error);
+    stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+call_result failed(const boost::system::error_code& error, bool sent)
+{
+    return {.outcome = sent ? outcome::unknown : outcome::not_run,
+            .verdict = error == beast::error::timeout ? verdict::timeout
+                       : sent                         ? verdict::cut
+                                                      : verdict::refused};
+}
+
+http::request<http::string_body> to_message(call&& request)
+{
+    http::request<http::string_body> message;
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.path);
+    message.set(http::field::host, "zinnia");
+    for (const auto& [name, value] : request.headers)
+    {
+        message.set(name, value);
+    }
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    return message;
+}
+
+} // namespace
+
+struct connection_pool
+{
+    std::vector<tcp::endpoint> targets;
+    std::vector<std::vector<std::unique_ptr<beast::tcp_stream>>> idle;
+};
+
+namespace
+{
+
+std::unique_ptr<beast::tcp_stream> take_idle(connection_pool& pool, std::size_t target)
+{
+    auto& idle = pool.idle[target];
+    while (!idle.empty())
+    {
+        auto stream = std::move(idle.back());
+        idle.pop_back();
+        if (is_usable(*stream))
+        {
+            return stream;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+std::shared_ptr<connection_pool> make_pool(std::vector<tcp::endpoint> targets)
+{
+    auto pool = std::make_shared<connection_pool>();
+    pool->idle.resize(targets.size());
+    pool->targets = std::move(targets);
+    return pool;
+}
+
+asio::awaitable<call_result> send(std::shared_ptr<connection_pool> pool, call request)
+{
+    const std::size_t target = request.target;
+    const std::string path = request.path;
+    const auto timeout = std::chrono::duration_cast<std::chrono::nanoseconds>(request.timeout);
+    std::unique_ptr<beast::tcp_stream> stream = take_idle(*pool, target);
+    if (stream == nullptr)
+    {
+        const auto executor = co_await asio::this_coro::executor;
+        stream = std::make_unique<beast::tcp_stream>(executor);
+        stream->expires_after(timeout);
+        const auto [error] = co_await stream->async_connect(pool->targets[target], tuple_awaitable);
+        if (error)
+        {
+            co_return failed(error, false);
+        }
+        boost::system::error_code ignored;
+        stream->socket().set_option(tcp::no_delay(true), ignored);
+    }
+    else
+    {
+        stream->expires_after(timeout);
+    }
+    http::request<http::string_body> message = to_message(std::move(request));
+    const auto [write_error, written] =
+        co_await http::async_write(*stream, message, tuple_awaitable);
+    if (write_error)
+    {
+        co_return failed(write_error, true);
+    }
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(max_answer_bytes);
+    const auto [read_error, read] =
+        co_await http::async_read(*stream, buffer, parser, tuple_awaitable);
+    if (read_error)
+    {
+        co_return failed(read_error, true);
+    }
+    if (parser.get().keep_alive() && buffer.size() == 0)
+    {
+        stream->expires_never();
+        pool->idle[target].push_back(std::move(stream));
+    }
+    co_return judge_answer(parser.get().result_int(), parser.get().body(), path);
+}
+
+call_result judge_answer(unsigned status, std::string_view body, std::string_view path)
+{
+    using stand_in::answer_check;
+    call_result result{.status = status};
+    const bool good_status = status >= 200 && status < 300;
+    switch (stand_in::check_answer(body, path))
+    {
+    case answer_check::whole:
+        result.outcome = outcome::answered;
+        result.verdict = verdict::whole;
+        return result;
+    case answer_check::crossed:
+        result.verdict = verdict::crossed;
+        return result;
+    case answer_check::truncated:
+        result.verdict = verdict::truncated;
+        return result;
+    case answer_check::foreign:
+        break;
+    }
+    // Only an error may come without the fields of an answer.
+    result.verdict = good_status ? verdict::truncated : verdict::whole;
+    const json::value document = json::parse(json::string_view(body.data(), body.size()));
+    const json::value* stated = document.as_object().if_contains("outcome");
+    if (!good_status && stated != nullptr && *stated == "not_run")
+    {
+        result.outcome = outcome::not_run;
+    }
+    return result;
+}
+
+} // namespace zinniaferry::load
--- /dev/null
+++ b/src/load/record_check.hpp
@@ -0,0 +1,67 @@
+/// Compares callers' records with servers' execution logs.
+#pragma once
+
+#include "core/error.hpp"
+
+#include <boost/json/object.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace zinniaferry::load
+{
+
+/// What is known of one request id of a caller.
+struct request_evidence
+{
+    bool recorded = false;
+    bool idempotent = false;
+    bool not_run = false;
+    bool answered = false;
+    std::uint64_t executions = 0;
+};
+
+struct evidence
+{
+    std::map<std::string, request_evidence, std::less<>> requests;
+    /// Executions by account and idempotency key.
+    std::map<std::pair<std::string, std::string>, std::uint64_t> keys;
+    /// Executions by the request id that a daemon gave, for requests that are not idempotent.
+    std::map<std::string, std::vector<std::string>, std::less<>> callers_of_request_id;
+    std::uint64_t records = 0;
+    std::uint64_t executions = 0;
+    std::uint64_t key_headers = 0;
+};
+
+struct findings
+{
+    std::uint64_t records = 0;
+    std::uint64_t executions = 0;
+    std::uint64_t repeated_keys = 0;       ///< Idempotency keys that were executed more than once.
+    std::uint64_t repeated_requests = 0;   ///< Requests, not idempotent, executed more than once.
+    std::uint64_t shared_request_ids = 0;  ///< Request ids given to more than one caller's request.
+    std::uint64_t executed_not_run = 0;    ///< Records with outcome not_run that were executed.
+    std::uint64_t answered_unexecuted = 0; ///< Answered records that no server executed.
+    std::uint64_t unrecorded = 0;          ///< Executions that no caller recorded.
+    std::uint64_t key_headers = 0;         ///< Executions that saw an account's key.
+    std::uint64_t idempotent_repeats = 0;  ///< Further executions of idempotent requests; allowed.
+    std::vector<std::string> examples;     ///< The first violations, one line each.
+};
+
+/// Adds one line of a record file, or of an execution log. Error: document_error with the path of
+/// the field. Not thread safe.
+core::result<void> add_record(evidence& seen, std::string_view line, const std::string& file);
+core::result<void> add_execution(evidence& seen, std::string_view line, const std::string& file);
+
+/// Returns what the evidence shows.
+findings judge(const evidence& seen);
+
+/// Returns the number of violations.
+std::uint64_t violations(const findings& found);
+
+boost::json::object to_json(const findings& found);
+
+} // namespace zinniaferry::load
