--- /dev/null
+++ b/apps/check_records.cpp
@@ -0,0 +1,86 @@
+/// Compares callers' records with servers' execution logs and reports violations.
+#include "load/record_check.hpp"
+#include "stand_in/program.hpp"
+
+#include <boost/json.hpp>
+#include <cxxopts.hpp>
+
+#include <cerrno>
+#include <cstdio>
+#include <fstream>
+
+namespace
+{
+
+using namespace zinniaferry;
+
+using add_line = core::result<void> (*)(load::evidence&, std::string_view, const std::string&);
+
+core::result<void> read_lines(load::evidence& seen, const std::string& name, add_line add)
+{
+    std::ifstream file(name);
+    if (!file)
+    {
+        return boost::leaf::new_error(
+            core::file_error{.file = name, .error_number = errno != 0 ? errno : EIO});
+    }
+    std::string line;
+    while (std::getline(file, line))
+    {
+        BOOST_LEAF_CHECK(add(seen, line, name));
+    }
+    return {};
+}
+
+core::result<int> run(const cxxopts::ParseResult& options)
+{
+    load::evidence seen;
+    for (const auto& name : options["records"].as<std::vector<std::string>>())
+    {
+        BOOST_LEAF_CHECK(read_lines(seen, name, load::add_record));
+    }
+    for (const auto& name : options["executions"].as<std::vector<std::string>>())
+    {
+        BOOST_LEAF_CHECK(read_lines(seen, name, load::add_execution));
+    }
+    const load::findings found = load::judge(seen);
+    const boost::json::object report = load::to_json(found);
+    if (options["json"].as<bool>())
+    {
+        std::printf("%s\n", boost::json::serialize(report).c_str());
+    }
+    else
+    {
+        for (const auto& field : report)
+        {
+            if (field.value().is_number())
+            {
+                std::printf("%-20s %s\n", std::string(field.key()).c_str(),
+                            boost::json::serialize(field.value()).c_str());
+            }
+        }
+        for (const std::string& example : found.examples)
+        {
+            std::printf("  %s\n", example.c_str());
+        }
+    }
+    return load::violations(found) > 0 ? 1 : 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("check_records",
+                             "Compares callers' records with servers' execution logs.\n"
+                             "Exit code 1: a violation; 2: wrong options or files");
+    // clang-format off
+    options.add_options()
+        ("records", "Record files of zinnia_load, FILE,FILE,...",
+            cxxopts::value<std::vector<std::string>>())
+        ("executions", "Execution logs of backend_stub, FILE,FILE,...",
+            cxxopts::value<std::vector<std::string>>())
+        ("json", "Print the counts as JSON", cxxopts::value<bool>()->default_value("false"));
+    // clang-format on
+    return stand_in::run_program(options, argc, argv, run);
+}
--- a/src/load/record_check.hpp
+++ b/src/load/record_check.hpp
@@ -29,7 +29,7 @@
     std::map<std::string, request_evidence, std::less<>> requests;
     /// Executions by account and idempotency key.
     std::map<std::pair<std::string, std::string>, std::uint64_t> keys;
-    /// Executions by the request id that a daemon gave, for requests that are not idempotent.
+    /// The callers' requests to which a daemon gave one request id.
     std::map<std::string, std::vector<std::string>, std::less<>> callers_of_request_id;
     std::uint64_t records = 0;
     std::uint64_t executions = 0;
