Let the admission limit settle before it compares latencies

Cause: the best latency began with the first answers of a process; by chance it was a fraction of what the service can reach, so the limit of some VMs fell to 1 and their requests waited. Change: averages count after 50 answers; the gain of the average is 0.05 instead of 0.1.

--- a/src/routing/admission_queue.cpp
+++ b/src/routing/admission_queue.cpp
@@ -8,7 +8,11 @@
 namespace
 {
 
-constexpr double latency_gain = 0.1; ///< Weight of one answer in the average latency.
+constexpr double latency_gain = 0.05; ///< Weight of one answer in the average latency.
+
+/// Answers in a window before its averages count. The first few would set a best latency by chance
+/// that the service never reaches again, and the limit would fall to its minimum.
+constexpr std::uint32_t settled_answers = 50;
 
 std::size_t class_of(const queued_request& request)
 {
@@ -40,6 +44,10 @@
         queue.window_best = {};
         queue.window_start = now;
     }
+    if (++queue.settling < settled_answers)
+    {
+        return;
+    }
     if (queue.window_best == core::duration::zero() || queue.latency < queue.window_best)
     {
         queue.window_best = queue.latency;
@@ -66,8 +74,9 @@
     queue.spread = blend(queue.spread, std::chrono::abs(latency - queue.latency));
     queue.latency = blend(queue.latency, latency);
     note_best(queue, now);
-    const bool overloaded = core::to_seconds(queue.latency) >
-                            core::to_seconds(queue.best_latency) * queue.options.tolerance;
+    const bool overloaded = queue.best_latency > core::duration::zero() &&
+                            core::to_seconds(queue.latency) >
+                                core::to_seconds(queue.best_latency) * queue.options.tolerance;
     if (overloaded)
     {
         lower_limit(queue, now);
--- a/src/routing/admission_queue.hpp
+++ b/src/routing/admission_queue.hpp
@@ -48,6 +48,7 @@
     core::duration spread{};       ///< Average distance of an answer from that average.
     core::duration best_latency{}; ///< Lowest average of the present and the former window.
     core::duration window_best{};  ///< Lowest average in the present window.
+    std::uint32_t settling = 0;    ///< Answers so far, until the average is settled.
     core::time_point window_start;
     core::time_point last_decrease;
     std::array<std::uint64_t, 3> shed{};    ///< Per class.
