Lend whole tokens instead of a rate where arrivals are few

Cause: a process with one or two arrivals in the averaging window asked for a rate. The holder either lent most of the bucket for a whole term or refused, and the refusal made the process refuse later requests without asking. Change: below 6 arrivals a window no rate is asked for or lent; whole tokens are lent for 50 ms, which end without a return message.

--- a/src/limits/borrowing.cpp
+++ b/src/limits/borrowing.cpp
@@ -267,7 +267,8 @@
     {
         supply += loan.live ? loan.bucket.rate : 0.0;
     }
-    const bool wants_rate = demand > demand_hysteresis * supply && now >= account.next_adjustment;
+    const bool wants_rate = is_significant(state, demand) && demand > demand_hysteresis * supply &&
+                            now >= account.next_adjustment;
     if (account.waiting.empty() && !wants_rate)
     {
         return;
--- a/src/limits/capacity.cpp
+++ b/src/limits/capacity.cpp
@@ -11,6 +11,7 @@
 
 // Below this burst per process, fractions of seats would never add up to a whole request.
 constexpr double smallest_burst_per_vm = 2.0;
+constexpr double significant_arrivals = 6.0;
 
 double seat_fraction_of(const account_limiter& state, const config::account& account, double burst,
                         std::uint32_t max_vms)
@@ -221,6 +222,11 @@
     return account.demand * std::exp(-age / core::to_seconds(state.options.demand_window));
 }
 
+bool is_significant(const account_limiter& state, double demand)
+{
+    return demand * core::to_seconds(state.options.demand_window) >= significant_arrivals;
+}
+
 void apply_configuration(account_limiter& state, const config::configuration& config,
                          core::time_point now)
 {
--- a/src/limits/capacity.hpp
+++ b/src/limits/capacity.hpp
@@ -47,6 +47,10 @@
 /// Returns the arrivals a second as of `now`. Thread safe.
 double demand_now(const account_limiter& state, const account_state& account, core::time_point now);
 
+/// Returns whether an arrival rate rests on enough arrivals to be more than noise. Below that,
+/// whole tokens are lent for the requests that wait instead of a rate. Thread safe.
+bool is_significant(const account_limiter& state, double demand);
+
 /// Returns whether a loan is on its way or somebody may be asked for one. Thread safe.
 bool can_borrow(const account_limiter& state, const account_state& account, core::time_point now);
 
--- a/src/limits/lending.cpp
+++ b/src/limits/lending.cpp
@@ -18,6 +18,9 @@
 constexpr double lent_rate_fraction = 0.95;
 // Smaller buckets lose more to overflow than a rate of their own is worth.
 constexpr double smallest_lent_cap = 2.0;
+// Tokens for requests that wait are spent on receipt, so their loan needs no longer term; it ends
+// by itself without a message.
+constexpr core::duration token_loan_term = std::chrono::milliseconds(50);
 // Demand that was not reported again for this time counts as gone.
 constexpr core::duration demand_memory = 2 * longest_loan_term;
 // Loans that would end sooner are not worth the messages.
@@ -28,6 +31,7 @@
     double rate = 0.0;
     double cap = 0.0;
     double tokens = 0.0;
+    core::duration longest_term = longest_loan_term;
 };
 
 double unmet(double demand, double seat_rate)
@@ -58,9 +62,9 @@
     const double cap =
         std::min(account.pool.cap * lent_cap_fraction * part, own.cap + reserved.cap);
     const double whole = std::min(std::floor(own.tokens), std::ceil(want.tokens));
-    if (cap < smallest_lent_cap)
+    if (cap < smallest_lent_cap || !is_significant(state, want.demand))
     {
-        return {.cap = whole, .tokens = whole};
+        return {.cap = whole, .tokens = whole, .longest_term = token_loan_term};
     }
     grant result{.rate = std::min({wanted, account.pool.rate * lent_rate_fraction * part,
                                    own.rate + reserved.rate}),
@@ -144,7 +148,7 @@
         return {.ignored = true};
     }
     account->demand_of_peers[from.vm] = {.rate = want.demand, .at = now};
-    const core::duration term = term_for(state, *account, from_pool, asked_term, now);
+    core::duration term = term_for(state, *account, from_pool, asked_term, now);
     const lent_generation reserved = reserved_by(chain, now);
     grant given;
     // A loan does not change its source: its old part is still counted against that.
@@ -159,6 +163,7 @@
                       [](const lent_chain& entry) { return entry.generations.empty(); });
         return {};
     }
+    term = std::min(term, given.longest_term);
     share& own = from_pool ? account->pool.bucket : account->seat.bucket;
     // Tokens move before the cap, which would otherwise clamp them away.
     const double tokens = std::clamp(given.tokens, 0.0, std::min(own.tokens, given.cap));
