--- a/src/fleet/claims.hpp
+++ b/src/fleet/claims.hpp
@@ -11,10 +11,10 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace zinniaferry::fleet
@@ -44,7 +44,7 @@
     std::uint64_t first = 0;
     std::uint64_t second = 0;
 
-    auto operator<=>(const claim_key&) const = default;
+    bool operator==(const claim_key&) const = default;
 };
 
 struct claim_key_hash
@@ -83,8 +83,8 @@
     std::uint32_t attempt = 1;
     core::time_point attempt_start{};
     core::time_point next_attempt{};
-    std::set<core::process_id> acknowledged;
-    std::set<core::process_id> refused;             ///< Taken or not a voter.
+    std::unordered_set<core::process_id> acknowledged;
+    std::unordered_set<core::process_id> refused;   ///< Taken or not a voter.
     std::map<std::uint64_t, std::uint32_t> holders; ///< Verdicts taken, by holder.
 };
 
--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -24,7 +24,7 @@
 // The reader counts an object each time it is visited, and lists are visited twice.
 constexpr std::size_t max_traversal = 4 * max_words;
 
-message read_message(kj::ArrayPtr<const kj::byte> bytes)
+message unpack(kj::ArrayPtr<const kj::byte> bytes)
 {
     kj::ArrayInputStream stream(bytes);
     capnp::PackedMessageReader reader(
@@ -72,7 +72,7 @@
         {
             return refused(reason::too_large, bytes.size());
         }
-        message value = read_message(input);
+        message value = unpack(input);
         if (!is_within_bounds(value))
         {
             return refused(reason::malformed, bytes.size());
