--- a/src/fleet/claims.cpp
+++ b/src/fleet/claims.cpp
@@ -265,6 +265,18 @@
     return out;
 }
 
+std::vector<outgoing> end_claim_not_run(claims& state, std::uint64_t claim_id, core::time_point)
+{
+    std::vector<outgoing> out;
+    const auto found = state.open.find(claim_id);
+    if (found != state.open.end())
+    {
+        release(state, claim_id, found->second, out);
+        state.open.erase(found);
+    }
+    return out;
+}
+
 std::vector<claim_event> take_events(claims& state)
 {
     return std::exchange(state.events, {});
--- a/src/fleet/claims.hpp
+++ b/src/fleet/claims.hpp
@@ -191,6 +191,12 @@
 /// its records until they expire.
 std::vector<outgoing> end_claim(claims& state, std::uint64_t claim_id, core::time_point now);
 
+/// Ends a claim whose request certainly did not run, although it may have been forwarded: the
+/// connection failed before the first byte, or the backend server states that it did not run it.
+/// The key may then be claimed again at once.
+std::vector<outgoing> end_claim_not_run(claims& state, std::uint64_t claim_id,
+                                        core::time_point now);
+
 /// Returns and clears the results since the last call. A claim stays open after `claimed` until
 /// `end_claim`; after the other outcomes it is closed.
 std::vector<claim_event> take_events(claims& state);
--- /dev/null
+++ b/src/net/deadline_timer.cpp
@@ -0,0 +1,60 @@
+#include "net/deadline_timer.hpp"
+
+namespace zinniaferry::net
+{
+
+deadline_timer::deadline_timer(boost::asio::ip::tcp::socket& socket)
+    : socket_(socket), timer_(socket.get_executor())
+{
+}
+
+void deadline_timer::expires_at(core::time_point deadline)
+{
+    expired_ = false;
+    deadline_ = deadline;
+    if (deadline < armed_for_)
+    {
+        arm(deadline);
+    }
+}
+
+void deadline_timer::expires_after(core::duration time)
+{
+    expires_at(core::steady_now() + time);
+}
+
+void deadline_timer::clear()
+{
+    deadline_ = core::time_point::max();
+}
+
+void deadline_timer::arm(core::time_point at)
+{
+    armed_for_ = at;
+    timer_.expires_at(to_steady(at));
+    timer_.async_wait([this](const boost::system::error_code& error) { on_fire(error); });
+}
+
+void deadline_timer::on_fire(const boost::system::error_code& error)
+{
+    // An aborted wait means that the timer was armed again or destroyed with its owner.
+    if (error)
+    {
+        return;
+    }
+    armed_for_ = core::time_point::max();
+    if (deadline_ == core::time_point::max())
+    {
+        return;
+    }
+    if (core::steady_now() < deadline_)
+    {
+        arm(deadline_);
+        return;
+    }
+    expired_ = true;
+    boost::system::error_code ignored;
+    socket_.cancel(ignored);
+}
+
+} // namespace zinniaferry::net
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,89 @@
+#include "net/http_client.hpp"
+
+#include "net/upstream_pool.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace zinniaferry::net
+{
+
+namespace
+{
+
+using boost::system::error_code;
+
+auto into(error_code& error)
+{
+    return asio::redirect_error(asio::use_awaitable, error);
+}
+
+} // namespace
+
+http_client::http_client(asio::io_context& io, std::string address, std::uint64_t body_limit)
+    : io_(io), address_(std::move(address)), body_limit_(body_limit), socket_(io), timer_(socket_)
+{
+}
+
+asio::awaitable<bool> http_client::ensure_connected()
+{
+    if (socket_.is_open())
+    {
+        co_return true;
+    }
+    const auto endpoint = parse_endpoint(address_);
+    if (!endpoint)
+    {
+        co_return false;
+    }
+    error_code error;
+    buffer_.clear();
+    co_await socket_.async_connect(*endpoint, into(error));
+    if (error)
+    {
+        close();
+        co_return false;
+    }
+    socket_.set_option(asio::ip::tcp::no_delay(true), error);
+    co_return true;
+}
+
+asio::awaitable<std::optional<http_response>> http_client::get(std::string target,
+                                                               core::duration time)
+{
+    timer_.expires_after(time);
+    if (!co_await ensure_connected())
+    {
+        timer_.clear();
+        co_return std::nullopt;
+    }
+    http::request<http::empty_body> request(http::verb::get, target, 11);
+    request.set(http::field::host, address_);
+    error_code error;
+    co_await http::async_write(socket_, request, into(error));
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(body_limit_);
+    if (!error)
+    {
+        co_await http::async_read(socket_, buffer_, parser, into(error));
+    }
+    timer_.clear();
+    if (error || parser.need_eof())
+    {
+        close();
+        co_return std::nullopt;
+    }
+    if (!parser.get().keep_alive())
+    {
+        close();
+    }
+    co_return parser.release();
+}
+
+void http_client::close()
+{
+    error_code ignored;
+    socket_.close(ignored);
+}
+
+} // namespace zinniaferry::net
--- /dev/null
+++ b/src/net/log.hpp
@@ -0,0 +1,20 @@
+/// Logs of the daemon: one logger per part, whose name is the fixed prefix of its lines.
+#pragma once
+
+#include "config/settings.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <memory>
+
+namespace zinniaferry::net
+{
+
+/// Sets the level and the format (text, or JSON lines) of all parts. To be called once, before
+/// any thread logs.
+void configure_logs(config::log_level level, config::log_format format);
+
+/// Returns the logger of a part such as "peers". Thread safe.
+std::shared_ptr<spdlog::logger> part_log(const char* part);
+
+} // namespace zinniaferry::net
--- /dev/null
+++ b/src/net/process_lifecycle.cpp
@@ -0,0 +1,112 @@
+#include "net/process_lifecycle.hpp"
+
+#include <boost/mpl/vector.hpp>
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace zinniaferry::net
+{
+
+namespace
+{
+
+namespace msm = boost::msm;
+using msm::front::none;
+using msm::front::Row;
+
+struct became_ready
+{
+};
+struct stop_asked
+{
+};
+struct grace_passed
+{
+};
+struct work_finished
+{
+};
+
+struct definition : msm::front::state_machine_def<definition>
+{
+    struct starting : msm::front::state<>
+    {
+    };
+    struct serving : msm::front::state<>
+    {
+    };
+    struct announcing : msm::front::state<>
+    {
+    };
+    struct finishing : msm::front::state<>
+    {
+    };
+    struct stopped : msm::front::state<>
+    {
+    };
+
+    using initial_state = starting;
+
+    // A process that is asked to stop before it served has nothing to announce.
+    struct transition_table
+        : boost::mpl::vector<
+              Row<starting, became_ready, serving>, Row<starting, stop_asked, finishing>,
+              Row<serving, stop_asked, announcing>, Row<announcing, grace_passed, finishing>,
+              Row<finishing, work_finished, stopped>>
+    {
+    };
+
+    template <class Fsm, class Event>
+    void no_transition(const Event&, Fsm&, int)
+    {
+    }
+};
+
+} // namespace
+
+struct process_lifecycle::machine : msm::back::state_machine<definition>
+{
+};
+
+const char* to_string(process_state state)
+{
+    static constexpr const char* names[] = {"starting", "serving", "announcing", "finishing",
+                                            "stopped"};
+    return names[static_cast<int>(state)];
+}
+
+process_lifecycle::process_lifecycle() : machine_(std::make_unique<machine>())
+{
+    machine_->start();
+}
+
+process_lifecycle::~process_lifecycle() = default;
+
+process_state process_lifecycle::apply(process_event event)
+{
+    switch (event)
+    {
+    case process_event::became_ready:
+        machine_->process_event(became_ready());
+        break;
+    case process_event::stop_asked:
+        machine_->process_event(stop_asked());
+        break;
+    case process_event::grace_passed:
+        machine_->process_event(grace_passed());
+        break;
+    case process_event::work_finished:
+        machine_->process_event(work_finished());
+        break;
+    }
+    return state();
+}
+
+process_state process_lifecycle::state() const
+{
+    // MSM numbers the states in the order in which the table names them.
+    return static_cast<process_state>(machine_->current_state()[0]);
+}
+
+} // namespace zinniaferry::net
