--- /dev/null
+++ b/test/error/net/http_bad_input_test.cpp
@@ -0,0 +1,189 @@
+#include "support/front_end.hpp"
+
+#include <boost/json.hpp>
+#include <gtest/gtest.h>
+
+namespace zinniaferry::net
+{
+namespace
+{
+
+using test_support::front_end;
+using test_support::one_server_configuration;
+using test_support::raw_server;
+
+const std::string whole_answer = "HTTP/1.1 200 OK\r\n" + std::string(test_support::good_load) +
+                                 "Content-Length: 5\r\n\r\nhello";
+
+struct bad_request
+{
+    const char* name;
+    std::string bytes;
+    unsigned status;
+    const char* error;
+};
+
+std::string long_header()
+{
+    return "GET /open HTTP/1.1\r\nHost: x\r\nX-Long: " + std::string(64 * 1024, 'a') +
+           "\r\n\r\n";
+}
+
+const std::vector<bad_request>& bad_requests()
+{
+    static const std::vector<bad_request> cases = {
+        {"conflicting_lengths",
+         "POST /open HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400,
+         "bad_request"},
+        {"repeated_lengths",
+         "POST /open HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc", 400,
+         "bad_request"},
+        {"length_and_chunks",
+         "POST /open HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "0\r\n\r\n",
+         400, "bad_request"},
+        {"repeated_transfer_encoding",
+         "POST /open HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         400, "bad_request"},
+        {"unknown_transfer_encoding",
+         "POST /open HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\n\r\nabc", 400,
+         "bad_request"},
+        {"bare_line_feeds", "GET /open HTTP/1.1\nHost: x\n\n", 400, "bad_request"},
+        {"bare_line_feed_in_header", "GET /open HTTP/1.1\r\nHost: x\nX-A: b\r\n\r\n", 400,
+         "bad_request"},
+        {"space_before_colon", "GET /open HTTP/1.1\r\nHost : x\r\n\r\n", 400, "bad_request"},
+        {"negative_length", "POST /open HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n", 400,
+         "bad_request"},
+        {"oversized_header", long_header(), 431, "headers_too_large"},
+        {"oversized_body",
+         "POST /open HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\nabc", 413,
+         "body_too_large"},
+        {"absolute_target", "GET http://other/open HTTP/1.1\r\nHost: x\r\n\r\n", 400,
+         "bad_request"},
+        {"two_keys",
+         "GET /keyed HTTP/1.1\r\nHost: x\r\nX-Zinnia-Key: secret-key\r\nX-Zinnia-Key: b\r\n\r\n",
+         400, "bad_request"},
+        {"malformed_deadline",
+         "GET /open HTTP/1.1\r\nHost: x\r\nX-Zinnia-Deadline-Ms: soon\r\n\r\n", 400,
+         "bad_request"},
+        {"expired_deadline", "GET /open HTTP/1.1\r\nHost: x\r\nX-Zinnia-Deadline-Ms: 0\r\n\r\n",
+         504, "deadline_expired"},
+        {"unknown_key", "GET /keyed HTTP/1.1\r\nHost: x\r\nX-Zinnia-Key: guess\r\n\r\n", 401,
+         "unknown_key"},
+        {"missing_key", "GET /keyed HTTP/1.1\r\nHost: x\r\n\r\n", 401, "unknown_key"},
+        {"unknown_route", "GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n", 404, "unknown_route"},
+        {"not_http", "hello there\r\n\r\n", 400, "bad_request"},
+    };
+    return cases;
+}
+
+class bad_input : public testing::TestWithParam<bad_request>
+{
+};
+
+// Guards against a malformed request that is forwarded in another meaning, crashes the daemon or
+// leaves the caller without a typed error.
+TEST_P(bad_input, is_refused_with_a_typed_error_and_not_forwarded)
+{
+    raw_server server(whole_answer);
+    const front_end daemon(one_server_configuration(server.address()));
+    const std::string answer = daemon.exchange(GetParam().bytes, true);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 " + std::to_string(GetParam().status) + " "))
+        << answer;
+    const std::size_t body = answer.find("\r\n\r\n");
+    ASSERT_NE(body, std::string::npos);
+    const boost::json::value parsed = boost::json::parse(answer.substr(body + 4));
+    EXPECT_EQ(parsed.at("error").as_string(), GetParam().error);
+    EXPECT_EQ(parsed.at("outcome").as_string(), "not_run");
+    EXPECT_EQ(server.received(), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(requests, bad_input, testing::ValuesIn(bad_requests()),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+// Guards against a connection that is held open for ever by a request that never ends.
+TEST(bad_input_time, a_half_sent_request_ends_with_408)
+{
+    raw_server server(whole_answer);
+    const front_end daemon(one_server_configuration(server.address()),
+                           {.request_timeout = std::chrono::milliseconds(200)});
+    const std::string answer =
+        daemon.exchange("POST /open HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 408 ")) << answer;
+    EXPECT_EQ(server.received(), "");
+}
+
+struct bad_answer
+{
+    const char* name;
+    std::string bytes;
+};
+
+class bad_server_answer : public testing::TestWithParam<bad_answer>
+{
+};
+
+// Guards against a truncated or ambiguous answer that looks whole to the caller (R6).
+TEST_P(bad_server_answer, never_looks_complete)
+{
+    raw_server server(GetParam().bytes, true);
+    const front_end daemon(one_server_configuration(server.address()));
+    const std::string answer = daemon.exchange("GET /open HTTP/1.1\r\nHost: x\r\n"
+                                               "Connection: close\r\n\r\n");
+    EXPECT_FALSE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 50")) << answer;
+    EXPECT_NE(answer.find("\"outcome\":\"unknown\""), std::string::npos) << answer;
+    EXPECT_NE(server.received(), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    answers, bad_server_answer,
+    testing::Values(
+        bad_answer{"truncated_body", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhello"},
+        bad_answer{"no_length", "HTTP/1.1 200 OK\r\n\r\nhello"},
+        bad_answer{"truncated_chunks",
+                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"},
+        bad_answer{"truncated_header", "HTTP/1.1 200 OK\r\nContent-Le"},
+        bad_answer{"conflicting_lengths",
+                   "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 4\r\n\r\nhello"},
+        bad_answer{"closed_at_once", ""}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// Guards against a key that reaches a backend server, also when the caller names the header as
+// one of the connection's or sets the daemon's own headers (R4).
+TEST(forwarding, removes_the_key_and_the_callers_own_zinnia_headers)
+{
+    raw_server server(whole_answer);
+    const front_end daemon(one_server_configuration(server.address()));
+    const std::string answer =
+        daemon.exchange("POST /keyed HTTP/1.1\r\nHost: x\r\nX-Zinnia-Key: secret-key\r\n"
+                        "X-Zinnia-Account: other\r\nConnection: close, X-Private\r\n"
+                        "X-Private: 1\r\nContent-Length: 2\r\n\r\nhi");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+    const std::string forwarded = server.received();
+    EXPECT_EQ(forwarded.find("secret-key"), std::string::npos) << forwarded;
+    EXPECT_EQ(forwarded.find("X-Private"), std::string::npos) << forwarded;
+    EXPECT_EQ(forwarded.find("other"), std::string::npos) << forwarded;
+    EXPECT_NE(forwarded.find("X-Zinnia-Account: a\r\n"), std::string::npos) << forwarded;
+    EXPECT_NE(forwarded.find("\r\n\r\nhi"), std::string::npos) << forwarded;
+}
+
+// Guards against a non-idempotent request that is sent a second time after its connection was
+// lost (R8): the outcome is unknown, and the server sees it once.
+TEST(forwarding, never_repeats_a_lost_non_idempotent_request)
+{
+    raw_server server("", true);
+    const front_end daemon(one_server_configuration(server.address()));
+    const std::string answer =
+        daemon.exchange("POST /keyed HTTP/1.1\r\nHost: x\r\nX-Zinnia-Key: secret-key\r\n"
+                        "Connection: close\r\nContent-Length: 2\r\n\r\nhi");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 502 ")) << answer;
+    EXPECT_NE(answer.find("\"outcome\":\"unknown\""), std::string::npos) << answer;
+    const std::string forwarded = server.received();
+    EXPECT_EQ(forwarded.find("POST "), forwarded.rfind("POST ")) << forwarded;
+    EXPECT_NE(forwarded.find("POST "), std::string::npos) << forwarded;
+}
+
+} // namespace
+} // namespace zinniaferry::net
