--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -146,6 +146,21 @@
     --executions "$(echo "$folder"/*.executions | tr ' ' ',')" || check_code=$?
 if ((check_code != 0)); then failures+=("check_records ended with code $check_code"); fi
 
+echo "== backend servers"
+# The controls follow the platform's port, one per service. The sums over all servers come first in the counters.
+services=$(grep -cE '"name": *"[^"]*", *"slots"' "$folder/config.json")
+for ((i = 1; i <= services; i++)); do
+    counters=$(curl -sf -m 5 "http://$ip:$((FLEET_PORT + i))/control/counters" || true)
+    for name in executions shed cancelled cold_overruns key_headers; do
+        count=$(grep -oE "\"$name\":[0-9]+" <<<"$counters" | head -n 1 | cut -d: -f2 || true)
+        printf '%s=%s ' "$name" "${count:-missing}"
+        if [[ $name == cold_overruns || $name == key_headers ]] && [[ ${count:-missing} != 0 ]]; then
+            failures+=("$name is ${count:-missing} at the service with control port $((FLEET_PORT + i)), not 0")
+        fi
+    done
+    echo
+done
+
 echo "== outcomes"
 # A demo that served nearly nobody must not pass; the floor is far below what a healthy fleet answers.
 read -r sent answered < <(grep '"idempotent":true' "$folder/records" |
--- a/tools/run_fleet.sh
+++ b/tools/run_fleet.sh
@@ -42,7 +42,9 @@
 }
 
 finish() {
-    trap - EXIT INT TERM
+    # A second signal must not leave processes behind.
+    trap - EXIT
+    trap '' INT TERM
     # Daemons first: their requests in flight need the backend servers.
     stop_all "${daemon_pids[@]}"
     stop_all "${stub_pids[@]}"
@@ -50,7 +52,7 @@
     echo "fleet: stopped"
     exit "$1"
 }
-trap 'finish 1' EXIT
+trap 'finish $?' EXIT
 trap 'finish 0' INT TERM
 
 # A fleet of this size needs its own majority; one more process may run while one is replaced.
