--- a/src/net/fleet_report.hpp
+++ b/src/net/fleet_report.hpp
@@ -14,10 +14,6 @@
 namespace zinniaferry::net
 {
 
-/// Counters in `/metrics` that the table shows, summed over their labels.
-inline constexpr std::string_view requests_metric = "zinnia_requests_total";
-inline constexpr std::string_view refusals_metric = "zinnia_refusals_total";
-
 /// One line of the table.
 struct vm_report
 {
@@ -29,27 +25,15 @@
     std::string error; ///< Why there is no report; empty when there is one.
 };
 
-/// The bodies that a report is read from.
-struct vm_documents
-{
-    std::string_view configuration; ///< Of `/v1/configuration`: `version`.
-    std::string_view fleet;         ///< Of `/v1/fleet`: `peers`, by VM, each with `state`.
-    std::string_view metrics;       ///< Of `/metrics`, in the Prometheus text format.
-};
-
 struct admin_options
 {
     std::string credential;
     core::duration timeout = std::chrono::seconds(5); ///< For each request.
 };
 
-/// Returns the sum of all samples of a metric, 0 when there are none. Samples that are not numbers
-/// count as 0. Thread safe.
-double sum_of_metric(std::string_view text, std::string_view metric);
-
-/// Reads a report from the three bodies. Error: document_error, whose file is the address and the
-/// path of the request. Thread safe.
-core::result<vm_report> read_vm_report(const std::string& address, const vm_documents& documents);
+/// Reads a report from the body of `/v1/fleet`. Error: document_error, whose file is the address
+/// and the path of the request. Thread safe.
+core::result<vm_report> read_vm_report(const std::string& address, std::string_view body);
 
 /// Asks one admin listener. A failure is told in `error` of the report, so that the table shows
 /// the other VMs. Thread safe.
