Score by own load, decaying latency and errors; keep server queues short

Cause: reports are mostly older than the load that they state, a latency average that nothing renewed kept servers out for good, a fail-fast server got several orders per VM before it was suspect, and long queues at the servers made orders wait behind browsing. A VM whose best latency was low by chance also starved at the lowest limit. Change: reports left out of the score (report_decay 0), latency average returns to that of the service within 1 s, exponent 4 on the load, error penalty 20, quick errors count double, orders may exceed the limit by one, tolerance 2 instead of 3, lowest limit at the VM's part of the slots.

--- a/bench/support/fleet_model.hpp
+++ b/bench/support/fleet_model.hpp
@@ -249,6 +249,10 @@
         routing::apply_configuration(daemon.weights, config_, now_);
         routing::apply_configuration(daemon.permits, config_, now_);
         routing::apply_configuration(daemon.probes, config_, now_);
+        if (plan_.admission)
+        {
+            routing::set_fair_share(daemon.queue, plan_.servers * plan_.slots, config_.max_vms);
+        }
     }
 
     void schedule_windows()
--- a/src/routing/admission_queue.cpp
+++ b/src/routing/admission_queue.cpp
@@ -97,6 +97,15 @@
     return queue;
 }
 
+void set_fair_share(admission_queue& queue, std::uint32_t slots_of_service, std::uint32_t max_vms)
+{
+    // Requests on their way to a server and back occupy the limit but no slot.
+    constexpr double transit = 1.5;
+    const double part = static_cast<double>(slots_of_service) / std::max(max_vms, 1U);
+    queue.options.min_limit = std::max(1.0, part * transit);
+    queue.limit = std::max(queue.limit, queue.options.min_limit);
+}
+
 std::vector<queued_request> enqueue(admission_queue& queue, queued_request request,
                                     core::time_point now)
 {
@@ -119,14 +128,15 @@
 
 std::optional<queued_request> dequeue(admission_queue& queue, core::time_point now)
 {
-    const auto allowed = static_cast<std::uint32_t>(std::max(queue.limit, 1.0));
-    if (queue.in_flight >= allowed)
-    {
-        return std::nullopt;
-    }
+    double allowed = queue.limit + queue.options.order_room;
     const core::time_point answer_at = now + expected_latency(queue);
     for (auto& list : queue.waiting)
     {
+        if (queue.in_flight + 1.0 > allowed)
+        {
+            return std::nullopt;
+        }
+        allowed = queue.limit;
         const auto first = list.upper_bound({answer_at, UINT64_MAX});
         if (first != list.end())
         {
--- a/src/routing/admission_queue.hpp
+++ b/src/routing/admission_queue.hpp
@@ -31,8 +31,9 @@
     double initial_limit = 8.0; ///< Requests in flight from this process.
     double min_limit = 1.0;
     double max_limit = 1000.0;
-    double tolerance = 3.0; ///< Latency over the best recent latency that is overload.
-    double decrease = 0.9;  ///< Factor on the limit at most once per latency.
+    double tolerance = 2.0;  ///< Latency over the best recent latency that is overload.
+    double order_room = 1.0; ///< Orders may exceed the limit by this.
+    double decrease = 0.9;   ///< Factor on the limit at most once per latency.
     core::duration baseline_window = std::chrono::seconds(10); ///< Memory of the best latency.
 };
 
@@ -58,6 +59,10 @@
 /// Builds an empty queue. Thread safe.
 admission_queue make_admission_queue(admission_options options);
 
+/// Sets the lowest limit to this process's part of the service's slots. Call it with each
+/// configuration. Not thread safe.
+void set_fair_share(admission_queue& queue, std::uint32_t slots_of_service, std::uint32_t max_vms);
+
 /// Adds a request. Returns the requests that leave as "not run" to make room: the least important
 /// class first, in it the latest deadline; this may be the new one. Not thread safe.
 std::vector<queued_request> enqueue(admission_queue& queue, queued_request request,
--- a/src/routing/selection.cpp
+++ b/src/routing/selection.cpp
@@ -102,17 +102,26 @@
 double score(const server_table& table, const server& entry, const selection_options& options,
              core::time_point now)
 {
-    double load = entry.in_flight;
-    if (entry.has_report)
+    const service_entry& service = table.services[entry.service];
+    double others = service.others;
+    if (entry.has_report && options.report_decay > core::duration::zero())
     {
         const double age =
             core::to_seconds(now - entry.report_time) / core::to_seconds(options.report_decay);
-        load += entry.reported_others * std::exp(-age);
+        others += (entry.reported_others - others) * std::exp(-age);
     }
-    const core::duration latency = entry.latency > core::duration::zero()
-                                       ? entry.latency
-                                       : table.services[entry.service].latency;
-    return load / entry.slots * core::to_seconds(latency);
+    // An estimate that nothing renews returns to the average of the service. Otherwise a server
+    // that was slow once would never be tried again.
+    double latency = core::to_seconds(service.latency);
+    if (entry.latency > core::duration::zero())
+    {
+        const double age =
+            core::to_seconds(now - entry.evidence_time) / core::to_seconds(options.latency_decay);
+        latency += (core::to_seconds(entry.latency) - latency) * std::exp(-age);
+    }
+    const double load = (entry.in_flight + others + 1.0) / entry.slots;
+    const double errors = 1.0 + options.error_penalty * entry.error_rate;
+    return std::pow(load, options.load_exponent) * std::sqrt(latency) * errors;
 }
 
 std::optional<server_index> select(const server_table& table, const data_centre_weights& weights,
--- a/src/routing/selection.hpp
+++ b/src/routing/selection.hpp
@@ -13,13 +13,17 @@
 
 struct selection_options
 {
-    std::uint32_t candidates = 4; ///< Servers drawn; the best of them is taken.
-    core::duration report_decay =
-        std::chrono::milliseconds(50); ///< Age at which a report counts 1/e.
+    std::uint32_t candidates = 12; ///< Servers drawn; the best of them is taken.
+    /// Age at which a report counts 1/e; 0 leaves single reports out. With many processes a report
+    /// is mostly older than the load it states, and the benchmark is worse with it.
+    core::duration report_decay{};
+    core::duration latency_decay = std::chrono::seconds(1); ///< Age at which an average counts 1/e.
+    double load_exponent = 4.0;  ///< Own requests in flight are exact; averages are not.
+    double error_penalty = 20.0; ///< A share of errors of 5% doubles the score.
 };
 
-/// Returns the expected time in seconds until a request sent now is answered. Lower is better.
-/// Thread safe on a constant table.
+/// Returns a measure of the expected waiting of a request sent now; only the order of two values
+/// means something, and the lower is better. Thread safe on a constant table.
 double score(const server_table& table, const server& entry, const selection_options& options,
              core::time_point now);
 
--- a/src/routing/server_table.cpp
+++ b/src/routing/server_table.cpp
@@ -39,7 +39,8 @@
     entry.latency = {};
 }
 
-void take_report(server& entry, const load_report& report, core::time_point now)
+void take_report(server_table& table, server& entry, const load_report& report,
+                 core::time_point now)
 {
     entry.has_report = true;
     entry.report = report;
@@ -47,6 +48,8 @@
     entry.reported_others =
         std::max(0.0, static_cast<double>(report.in_flight) + static_cast<double>(report.queued) -
                           static_cast<double>(entry.in_flight));
+    service_entry& service = table.services[entry.service];
+    service.others += table.options.service_gain * (entry.reported_others - service.others);
     switch (report.state)
     {
     case server_state::draining:
@@ -82,7 +85,9 @@
 void take_error(server_table& table, server& entry, core::duration latency)
 {
     service_entry& service = table.services[entry.service];
-    const double gain = table.options.error_gain;
+    // Quick errors would make the server look idle, so a few of them are enough.
+    const bool quick = latency < std::max(entry.usual_latency, service.latency) / 2;
+    const double gain = quick ? table.options.quick_error_gain : table.options.error_gain;
     entry.good_answers = 0;
     entry.error_rate += gain * (1.0 - entry.error_rate);
     entry.error_latency = blend(entry.error_latency, latency, gain);
@@ -311,7 +316,7 @@
     }
     if (answer.report)
     {
-        take_report(entry, *answer.report, now);
+        take_report(table, entry, *answer.report, now);
     }
     if (answer.error || answer.not_run)
     {
@@ -383,7 +388,7 @@
     }
     entry.has_evidence = true;
     entry.evidence_time = now;
-    take_report(entry, *report, now);
+    take_report(table, entry, *report, now);
 }
 
 void tick(server_table& table, core::time_point now)
--- a/src/routing/server_table.hpp
+++ b/src/routing/server_table.hpp
@@ -64,6 +64,7 @@
     std::vector<server_index> servers; ///< Configured servers only.
     core::duration latency{};          ///< Average over good answers of all its servers.
     double error_rate = 0.0;           ///< Average over answers of all its servers.
+    double others = 0.0;               ///< Average of the reported load from other processes.
 };
 
 struct server_table_options
@@ -74,6 +75,7 @@
     double usual_latency_gain = 0.01; ///< Weight of one answer in the slow average.
     double service_gain = 0.02;       ///< Weight of one answer in the averages of a service.
     double error_gain = 0.1;          ///< Weight of one answer in the error rate.
+    double quick_error_gain = 0.2;    ///< The same for errors faster than half the usual latency.
     double jump_factor = 8.0;         ///< Latency over the usual that counts as a jump.
     std::uint32_t jump_answers = 4;   ///< Slow answers in a row that make a jump.
     std::uint32_t warm_answers = 3;   ///< Good answers in a row that end warming.
