Ask peers beside a known holder only with concentrated traffic

Cause: every short gap in tokens asked three peers, whose seats are in use themselves when traffic is spread, and a refusal by them delayed the next request to the holder as well. Change: with a known holder, peers are asked from twice the fair share on; holder and peers have a back-off each.

--- a/src/limits/account_limiter.hpp
+++ b/src/limits/account_limiter.hpp
@@ -141,7 +141,8 @@
     core::time_point demand_at{};
     core::time_point next_adjustment{}; ///< Asking for more rate without need waits for this.
     core::time_point no_loan_until{};   ///< Peers had nothing to lend.
-    core::duration backoff{};
+    core::duration holder_backoff{};
+    core::duration peer_backoff{};
 };
 
 /// A division of limits that was in force until lately; the smaller of old and new counts.
--- a/src/limits/borrowing.cpp
+++ b/src/limits/borrowing.cpp
@@ -25,10 +25,25 @@
            now >= account.holder_refused_until;
 }
 
+// More than this many times the demand per process that would use up the rate.
+constexpr double concentrated_traffic = 2.0;
+
+bool is_above_fair_share(const account_limiter& state, const account_state& account,
+                         core::time_point now)
+{
+    const double demand = demand_now(state, account, now);
+    return is_significant(state, demand) &&
+           demand * state.max_vms > concentrated_traffic * account.rate;
+}
+
 bool are_peers_usable(const account_limiter& state, const account_state& account,
                       core::time_point now)
 {
-    return account.seat_fraction > 0.0 && now >= account.no_loan_until && !state.alive.empty();
+    // While a holder is known, peers are asked only by a process with so much traffic that seats of
+    // others are likely to be idle; otherwise every short gap would cost three messages and
+    // answers.
+    return account.seat_fraction > 0.0 && now >= account.no_loan_until && !state.alive.empty() &&
+           (account.holder.empty() || is_above_fair_share(state, account, now));
 }
 
 bool is_pending(const borrowed_share& loan)
@@ -142,11 +157,11 @@
     }
 }
 
-void back_off(const account_limiter& state, account_state& account)
+void lengthen(const account_limiter& state, core::duration& backoff)
 {
-    account.backoff = account.backoff == core::duration::zero()
-                          ? state.options.first_backoff
-                          : std::min(2 * account.backoff, state.options.longest_backoff);
+    backoff = backoff == core::duration::zero()
+                  ? state.options.first_backoff
+                  : std::min(2 * backoff, state.options.longest_backoff);
 }
 
 void note_refusal(account_limiter& state, account_state& account, const std::string& lender,
@@ -154,13 +169,13 @@
 {
     if (lender == account.holder)
     {
-        back_off(state, account);
-        account.holder_refused_until = now + account.backoff;
+        lengthen(state, account.holder_backoff);
+        account.holder_refused_until = now + account.holder_backoff;
     }
     else if (std::none_of(account.borrowed.begin(), account.borrowed.end(), is_pending))
     {
-        back_off(state, account);
-        account.no_loan_until = now + account.backoff;
+        lengthen(state, account.peer_backoff);
+        account.no_loan_until = now + account.peer_backoff;
     }
 }
 
@@ -224,7 +239,7 @@
     }
     else
     {
-        account->backoff = core::duration::zero();
+        (lender == account->holder ? account->holder_backoff : account->peer_backoff) = {};
     }
 }
 
