Back off when a loan brings fewer tokens than requests wait

Cause: a reply with no token was not counted as insufficient when one request waited, so an overloaded account asked its holder every 20 ms. Change: the tokens at hand after the loan are compared with the waiting requests, at least one.

--- a/src/limits/borrowing.cpp
+++ b/src/limits/borrowing.cpp
@@ -233,7 +233,7 @@
                     .last = now,
                     .expires = expires};
     loan->live = true;
-    if (lent.tokens + 1.0 < static_cast<double>(account->waiting.size()))
+    if (kept + lent.tokens < std::max(1.0, static_cast<double>(account->waiting.size())))
     {
         note_refusal(state, *account, lender, now);
     }
