Fill rate loans with tokens before a request has to wait

Cause: a borrower with a rate near its demand either overflows or runs dry, and each refill moved the whole loan; the first to ask got most of the bucket. Change: 0.7 of the needed rate is lent, the rest comes as tokens into the same loan when less than one is left; its size is bounded by the arrivals of one second, and renewals change it only by more than a factor of 1.4. The benchmark also reports the shortfall against a central bucket.

--- a/bench/limits.cpp
+++ b/bench/limits.cpp
@@ -44,6 +44,8 @@
     std::uint64_t requests = 0;
     std::uint64_t admitted = 0;
     std::uint64_t wrongful = 0;
+    double ideal_tokens = 0.0; ///< Of one bucket that gets the same arrivals.
+    std::uint64_t ideal_admitted = 0;
 };
 
 struct case_result
@@ -107,9 +109,16 @@
     const double elapsed = core::to_seconds(end.at - account.central_at);
     account.central_tokens =
         std::min(account.bound.burst, account.central_tokens + elapsed * account.bound.rate);
+    account.ideal_tokens =
+        std::min(account.bound.burst, account.ideal_tokens + elapsed * account.bound.rate);
     account.central_at = end.at;
     const bool measured = end.at >= measured_from;
     account.requests += measured ? 1 : 0;
+    if (account.ideal_tokens >= 1.0)
+    {
+        account.ideal_tokens -= 1.0;
+        account.ideal_admitted += measured ? 1 : 0;
+    }
     if (end.admitted)
     {
         limits::record(account.bound, end.at);
@@ -240,6 +249,18 @@
     return worst;
 }
 
+// What one central bucket would have admitted and this way did not, in percent.
+double worst_shortfall(const case_result& result)
+{
+    double worst = 0.0;
+    for (const auto& [name, account] : result.accounts)
+    {
+        const auto ideal = static_cast<double>(account.ideal_admitted);
+        worst = std::max(worst, 100.0 - 100.0 * static_cast<double>(account.admitted) / ideal);
+    }
+    return worst;
+}
+
 // Returns whether the figure keeps its bound.
 bool print(const figure& what)
 {
@@ -272,6 +293,11 @@
                    .unit = "% of requests",
                    .bound = bound(chosen, worst_wrongful(baseline)),
                    .baseline = worst_wrongful(baseline)});
+    pass &= print({.name = prefix + "shortfall_worst_account",
+                   .value = worst_shortfall(result),
+                   .unit = "% of a central bucket's",
+                   .bound = bound(chosen, worst_shortfall(baseline)),
+                   .baseline = worst_shortfall(baseline)});
     pass &= print({.name = prefix + "messages",
                    .value = result.messages_per_second,
                    .unit = "1/s per process",
--- a/src/limits/borrowing.cpp
+++ b/src/limits/borrowing.cpp
@@ -59,6 +59,28 @@
     return found == account.borrowed.end() ? nullptr : &*found;
 }
 
+// Tokens that a loan with a rate can take up; a loan of whole tokens is not filled again.
+double room_in(borrowed_share& loan, core::time_point now)
+{
+    advance(loan.bucket, now);
+    return loan.live && loan.bucket.rate > 0.0 ? loan.bucket.cap - loan.bucket.tokens : 0.0;
+}
+
+// Whether a process with a rate of its own is about to run out: asking before a request has to
+// wait costs the same messages and no waiting.
+bool runs_low(account_state& account, core::time_point now)
+{
+    double tokens = account.seat.bucket.tokens + account.pool.bucket.tokens;
+    bool has_rate = false;
+    for (borrowed_share& loan : account.borrowed)
+    {
+        advance(loan.bucket, now);
+        tokens += loan.live ? loan.bucket.tokens : 0.0;
+        has_rate = has_rate || (loan.live && loan.bucket.rate > 0.0);
+    }
+    return has_rate && tokens < 1.0;
+}
+
 void ask(account_limiter& state, account_state& account, const std::string& lender,
          core::time_point now)
 {
@@ -77,10 +99,11 @@
     ++loan->generation;
     loan->pending = true;
     loan->asked = now;
-    state.batches[lender].wants.push_back({.account = account.name,
-                                           .loan_id = loan_id(loan->chain, loan->generation),
-                                           .demand = demand_now(state, account, now),
-                                           .tokens = static_cast<double>(account.waiting.size())});
+    state.batches[lender].wants.push_back(
+        {.account = account.name,
+         .loan_id = loan_id(loan->chain, loan->generation),
+         .demand = demand_now(state, account, now),
+         .tokens = static_cast<double>(account.waiting.size()) + room_in(*loan, now)});
 }
 
 void end_unanswered(account_limiter& state, account_state& account, core::time_point now)
@@ -282,9 +305,10 @@
     {
         supply += loan.live ? loan.bucket.rate : 0.0;
     }
+    const bool is_low = runs_low(account, now);
     const bool wants_rate = is_significant(state, demand) && demand > demand_hysteresis * supply &&
                             now >= account.next_adjustment;
-    if (account.waiting.empty() && !wants_rate)
+    if (account.waiting.empty() && !wants_rate && !is_low)
     {
         return;
     }
--- a/src/limits/lending.cpp
+++ b/src/limits/lending.cpp
@@ -13,11 +13,18 @@
 // What a borrower is given above its arrival rate, so that it does not ask again at every small
 // rise.
 constexpr double headroom = 1.1;
-// Part of the pool's bucket and rate that the holder keeps for processes that ask next.
-constexpr double lent_cap_fraction = 0.7;
-constexpr double lent_rate_fraction = 0.95;
+// Part of the pool's bucket that is lent together with a rate; the rest stays for whoever asks
+// next.
+constexpr double lent_cap_fraction = 0.9;
+// Part of the needed rate that is lent. A borrower with less than it needs seldom has a full
+// bucket, which would waste tokens, and asks the holder for the rest as whole tokens.
+constexpr double lent_rate_fraction = 0.7;
 // Smaller buckets lose more to overflow than a rate of their own is worth.
-constexpr double smallest_lent_cap = 2.0;
+constexpr double smallest_lent_cap = 1.25;
+// Renewals change a loan only beyond this ratio, either way.
+constexpr double worthwhile_ratio = 1.4;
+// A bucket holds at most what arrives in this time, and room for two requests more.
+constexpr core::duration longest_fill = std::chrono::seconds(1);
 // Tokens for requests that wait are spent on receipt, so their loan needs no longer term; it ends
 // by itself without a message.
 constexpr core::duration token_loan_term = std::chrono::milliseconds(50);
@@ -53,23 +60,37 @@
     return sum > 0.0 ? std::min(1.0, wanted / sum) : 0.0;
 }
 
+bool is_worthwhile(double target, double present)
+{
+    return target > present * worthwhile_ratio || target * worthwhile_ratio < present;
+}
+
 grant pool_grant(const account_limiter& state, account_state& account, const fleet::loan_want& want,
                  const lent_generation& reserved, core::time_point now)
 {
     const share& own = account.pool.bucket;
     const double wanted = unmet(want.demand, account.seat.rate);
     const double part = part_of(state, account, wanted, now);
-    const double cap =
-        std::min(account.pool.cap * lent_cap_fraction * part, own.cap + reserved.cap);
     const double whole = std::min(std::floor(own.tokens), std::ceil(want.tokens));
-    if (cap < smallest_lent_cap || !is_significant(state, want.demand))
+    double cap = std::min(account.pool.cap * lent_cap_fraction * part,
+                          2.0 + wanted * core::to_seconds(longest_fill));
+    double rate = lent_rate_fraction * std::min(wanted, account.pool.rate * part);
+    if (reserved.rate > 0.0)
+    {
+        // What is lent stays reserved until its term ends, so a smaller loan frees nothing at once
+        // and takes tokens from the borrower. Demand averages vary, so small changes are left out.
+        cap = is_worthwhile(cap, reserved.cap) ? cap : reserved.cap;
+        rate = is_worthwhile(rate, reserved.rate) ? rate : reserved.rate;
+    }
+    else if (cap < smallest_lent_cap || !is_significant(state, want.demand))
     {
         return {.cap = whole, .tokens = whole, .longest_term = token_loan_term};
     }
-    grant result{.rate = std::min({wanted, account.pool.rate * lent_rate_fraction * part,
-                                   own.rate + reserved.rate}),
-                 .cap = cap};
-    result.tokens = std::min(cap, std::max(whole, own.tokens * part * lent_cap_fraction));
+    grant result{.rate = std::min(rate, own.rate + reserved.rate),
+                 .cap = std::min(cap, own.cap + reserved.cap)};
+    const double first_fill = reserved.cap > 0.0 ? 0.0 : cap / 2;
+    result.tokens = std::min(std::max(want.tokens, first_fill), own.tokens / 2);
+    result.tokens = std::min(result.cap, std::max(result.tokens, whole));
     return result;
 }
 
