Measure demand over 4 s

Cause: at one arrival a second the average over 2 s reached the threshold for a rate by chance and took a fifth of a small pool for a term.

--- a/src/limits/account_limiter.hpp
+++ b/src/limits/account_limiter.hpp
@@ -39,7 +39,7 @@
     std::size_t waiting_limit = 64;                                ///< Requests held per account.
     core::duration batch_interval = std::chrono::milliseconds(20); ///< Per peer.
     core::duration reply_limit = std::chrono::milliseconds(250);   ///< Then a loan counts as lost.
-    core::duration demand_window = std::chrono::seconds(2);        ///< Of the arrival average.
+    core::duration demand_window = std::chrono::seconds(4);        ///< Of the arrival average.
     core::duration first_backoff = std::chrono::milliseconds(100); ///< After a refused loan.
     core::duration longest_backoff = std::chrono::milliseconds(1600);
     /// A configuration is in force everywhere after this time (R11). Capacity that moves between
