--- a/src/limits/account_limiter.hpp
+++ b/src/limits/account_limiter.hpp
@@ -39,7 +39,7 @@
     std::size_t waiting_limit = 64;                                ///< Requests held per account.
     core::duration batch_interval = std::chrono::milliseconds(20); ///< Per peer.
     core::duration reply_limit = std::chrono::milliseconds(250);   ///< Then a loan counts as lost.
-    core::duration demand_window = std::chrono::seconds(2);        ///< Of the arrival average.
+    core::duration demand_window = std::chrono::seconds(4);        ///< Of the arrival average.
     core::duration first_backoff = std::chrono::milliseconds(100); ///< After a refused loan.
     core::duration longest_backoff = std::chrono::milliseconds(1600);
     /// A configuration is in force everywhere after this time (R11). Capacity that moves between
@@ -141,7 +141,8 @@
     core::time_point demand_at{};
     core::time_point next_adjustment{}; ///< Asking for more rate without need waits for this.
     core::time_point no_loan_until{};   ///< Peers had nothing to lend.
-    core::duration backoff{};
+    core::duration holder_backoff{};
+    core::duration peer_backoff{};
 };
 
 /// A division of limits that was in force until lately; the smaller of old and new counts.
