Hand the pool over without a gap at a planned stop

Cause: a stopping holder lent nothing for 4 s before its lease could be given up, and processes past their quarantine stood against the present holder, which kept their votes from it and cost messages. The benchmark ended VMs 2.5 s after the stop instead of stop_grace (5 s), so no lease was ever given up. Change: a stopping holder lends on, within the ends of present loans; a process that was asked during its quarantine does not stand for that group; a round that meets another holder is given up with its own vote; ranks below the first wait 100 ms each. The seat is used before loans with a rate. The benchmark waits 5 s.

--- a/bench/limits.cpp
+++ b/bench/limits.cpp
@@ -131,21 +131,15 @@
     }
 }
 
-// Each VM stops as planned and starts again as a new process; the platform sends it nothing while
-// it is away, so its arrivals are taken by its neighbour.
-void replace_next(limits::virtual_fleet& fleet, std::size_t step)
+// Each VM stops as planned, ends after stop_grace and starts again as a new process, while the next
+// one stops. Requests still arrive at a stopping VM, as the platform's balancer lags.
+void replace_all(limits::virtual_fleet& fleet)
 {
-    const std::size_t i = step / 2;
-    if (i >= vms)
-    {
-        return;
-    }
-    if (step % 2 == 0)
+    constexpr core::duration stop_grace = 5s;
+    for (std::size_t i = 0; i < vms; ++i)
     {
         limits::stop(fleet, i);
-    }
-    else
-    {
+        limits::run_until(fleet, fleet.now + stop_grace);
         limits::kill(fleet, i);
         limits::start(fleet, i);
     }
@@ -155,12 +149,7 @@
 {
     if (what.replaces_all)
     {
-        // 5 s of stop_grace, then the next VM at once: all are replaced within 90 s.
-        for (std::size_t step = 0; step < 2 * vms; ++step)
-        {
-            limits::run_until(fleet, measured_from + step * 2500ms);
-            replace_next(fleet, step);
-        }
+        replace_all(fleet);
     }
     if (what.splits)
     {
--- a/src/fleet/majority_lease.cpp
+++ b/src/fleet/majority_lease.cpp
@@ -38,7 +38,13 @@
     {
         reply.holder = record.holder;
     }
-    if (taken || request.max_vms != state.max_vms || is_in_quarantine(state, now))
+    if (is_in_quarantine(state, now))
+    {
+        // Whoever asks now is the holder or about to be; standing against it would only cost votes.
+        state.candidacies[request.group].rival_until = now + longest_lease_term;
+        return reply;
+    }
+    if (taken || request.max_vms != state.max_vms)
     {
         return reply;
     }
@@ -118,7 +124,7 @@
         return now >= candidacy.held_until - state.term / 2;
     }
     const lease_acknowledgement& record = state.acknowledged[group];
-    if (now < record.until && record.holder != state.self)
+    if (now < candidacy.rival_until || (now < record.until && record.holder != state.self))
     {
         // Other voters acknowledged that holder for about as long as this one did.
         candidacy.vacant_since = core::time_point{};
@@ -137,6 +143,30 @@
     return now >= std::max(candidacy.vacant_since + wait, candidacy.yield_until);
 }
 
+// Two candidates can each have part of the votes. The lower ranked one stops asking until its
+// acknowledgements have expired, so that the other gets its majority. Without votes of others the
+// holder is in place already, or has just ended and its acknowledgements expire soon.
+void yield_to(majority_lease& state, std::uint32_t group, const core::process_id& holder,
+              core::time_point now)
+{
+    lease_candidacy& candidacy = state.candidacies[group];
+    const std::string key = group_key(group);
+    const bool split = candidacy.granted.size() > 1;
+    if (split &&
+        core::rendezvous_weight(key, holder.vm) < core::rendezvous_weight(key, state.self.vm))
+    {
+        return;
+    }
+    candidacy.yield_until = now + (split ? longest_lease_term : 2 * state.options.ask_interval);
+    // The round is given up, so its own vote is not counted any more and may go to the other.
+    ++candidacy.round;
+    candidacy.granted.clear();
+    if (state.acknowledged[group].holder == state.self)
+    {
+        state.acknowledged[group] = {};
+    }
+}
+
 void take_reply(majority_lease& state, const core::process_id& from, const lease_reply& reply,
                 core::time_point now)
 {
@@ -160,16 +190,9 @@
         count_votes(state, candidacy, now);
         return;
     }
-    // Two candidates can each have part of the votes. The lower ranked one stops asking until its
-    // acknowledgements have expired, so that the other gets its majority. Without votes of others
-    // the holder is more likely one that has just ended, whose acknowledgements expire soon.
-    const std::string key = group_key(reply.group);
-    if (!reply.holder.vm.empty() && now >= candidacy.held_until &&
-        core::rendezvous_weight(key, reply.holder.vm) > core::rendezvous_weight(key, state.self.vm))
+    if (!reply.holder.vm.empty() && reply.holder != state.self && now >= candidacy.held_until)
     {
-        candidacy.yield_until =
-            now +
-            (candidacy.granted.size() > 1 ? longest_lease_term : 2 * state.options.ask_interval);
+        yield_to(state, reply.group, reply.holder, now);
     }
 }
 
@@ -227,6 +250,7 @@
         {
             candidacy.last_known = {};
         }
+        candidacy.rival_until = {};
     }
     return {};
 }
--- a/src/fleet/majority_lease.hpp
+++ b/src/fleet/majority_lease.hpp
@@ -24,7 +24,7 @@
 {
     double clock_margin = 0.02; ///< Part of the term given up for clocks of different rate.
     core::duration ask_interval = std::chrono::milliseconds(500); ///< Between rounds of a group.
-    core::duration rank_delay = std::chrono::milliseconds(700);   ///< Per rank below the first.
+    core::duration rank_delay = std::chrono::milliseconds(100);   ///< Per rank below the first.
 };
 
 /// What this process as a voter acknowledges for a group.
@@ -43,6 +43,7 @@
     core::time_point held_until{};      ///< The epoch when not held.
     core::time_point vacant_since{};    ///< When no holder was known any more.
     core::duration delay{};             ///< Random part of the wait of lower ranks.
+    core::time_point rival_until{};     ///< Another process asked during the own quarantine.
     core::time_point yield_until{};     ///< Not asking before, in favour of another candidate.
     unsigned failed_rounds = 0;         ///< In a row.
     bool released = false;              ///< Given up for good.
--- a/src/limits/account_limiter.cpp
+++ b/src/limits/account_limiter.cpp
@@ -229,6 +229,7 @@
 std::vector<fleet::outgoing> shut_down(account_limiter& state, core::time_point now)
 {
     state.stopping = true;
+    state.stopping_since = now;
     for (auto& [name, account] : state.accounts)
     {
         refresh(state, account, now);
--- a/src/limits/account_limiter.hpp
+++ b/src/limits/account_limiter.hpp
@@ -168,6 +168,7 @@
     core::time_point started{};
     std::uint64_t next_chain = 0;
     bool stopping = false;
+    core::time_point stopping_since{};
     std::uint32_t max_vms = 0; ///< 0 until a configuration is in force.
     std::uint32_t pool_groups = 0;
     std::vector<core::time_point> group_held_until; ///< The epoch when not held.
@@ -226,9 +227,11 @@
 std::vector<fleet::outgoing> flush(account_limiter& state, core::time_point now,
                                    core::random_generator& random);
 
-/// Begins a planned stop: returns all borrowed shares, and lends and borrows no more. Own seats
-/// stay usable for requests that still arrive; pools do not. Waiting requests are refused by the
-/// next `resolve_waiting`.
+/// Begins a planned stop: returns all borrowed shares and borrows no more. For one
+/// `longest_loan_term` the pools go on lending, but nothing beyond the ends of the present loans,
+/// so that after it the leases can be released (`pool_busy_until`) and the next holder begins at
+/// once. Own seats and held pools stay usable for requests that still arrive; nothing waits any
+/// more.
 std::vector<fleet::outgoing> shut_down(account_limiter& state, core::time_point now);
 
 /// Returns when the last loan from the pool of the group ends; the lease must not be released
--- a/src/limits/capacity.cpp
+++ b/src/limits/capacity.cpp
@@ -159,8 +159,7 @@
     case pool_source::majority_lease:
         break;
     }
-    return !state.stopping && now >= account.pool_from &&
-           account.group < state.group_held_until.size() &&
+    return now >= account.pool_from && account.group < state.group_held_until.size() &&
            now < state.group_held_until[account.group];
 }
 
@@ -200,8 +199,9 @@
 
 std::vector<share*> usable_shares(account_state& account)
 {
+    // Whole tokens come first, as they end within milliseconds. The seat comes before loans with a
+    // rate, since it overflows otherwise while the holder could have lent the tokens elsewhere.
     std::vector<share*> shares;
-    // What ends first is used first; own shares last, as nobody else can use what they overflow.
     for (borrowed_share& loan : account.borrowed)
     {
         if (loan.live)
@@ -211,7 +211,9 @@
     }
     std::sort(shares.begin(), shares.end(),
               [](const share* a, const share* b) { return a->expires < b->expires; });
-    shares.push_back(&account.seat.bucket);
+    const auto with_rate = std::stable_partition(
+        shares.begin(), shares.end(), [](const share* bucket) { return bucket->rate <= 0.0; });
+    shares.insert(with_rate, &account.seat.bucket);
     shares.push_back(&account.pool.bucket);
     return shares;
 }
--- a/src/limits/lending.cpp
+++ b/src/limits/lending.cpp
@@ -82,12 +82,18 @@
         cap = is_worthwhile(cap, reserved.cap) ? cap : reserved.cap;
         rate = is_worthwhile(rate, reserved.rate) ? rate : reserved.rate;
     }
-    else if (cap < smallest_lent_cap || !is_significant(state, want.demand))
+    else if (cap < smallest_lent_cap || !is_significant(state, want.demand) || state.stopping)
     {
         return {.cap = whole, .tokens = whole, .longest_term = token_loan_term};
     }
     grant result{.rate = std::min(rate, own.rate + reserved.rate),
                  .cap = std::min(cap, own.cap + reserved.cap)};
+    if (state.stopping)
+    {
+        // Ends with the present generation, so that the lease can be released then.
+        result.longest_term = core::from_seconds(core::to_seconds(reserved.end - now) /
+                                                 (1.0 + state.options.clock_margin));
+    }
     const double first_fill = reserved.cap > 0.0 ? 0.0 : cap / 2;
     result.tokens = std::min(std::max(want.tokens, first_fill), own.tokens / 2);
     result.tokens = std::min(result.cap, std::max(result.tokens, whole));
@@ -157,7 +163,8 @@
     account_state* account = find_configured(state, want.account);
     const bool well_formed = std::isfinite(want.demand) && want.demand >= 0.0 &&
                              std::isfinite(want.tokens) && want.tokens >= 0.0;
-    if (account == nullptr || !well_formed || state.stopping || !state.options.way.lends)
+    const bool ended = state.stopping && now >= state.stopping_since + longest_loan_term;
+    if (account == nullptr || !well_formed || ended || !state.options.way.lends)
     {
         return {};
     }
@@ -173,7 +180,7 @@
     const lent_generation reserved = reserved_by(chain, now);
     grant given;
     // A loan does not change its source: its old part is still counted against that.
-    if (term >= shortest_term && chain.from_pool == from_pool)
+    if (term >= shortest_term && chain.from_pool == from_pool && (from_pool || !state.stopping))
     {
         given = from_pool ? pool_grant(state, *account, want, reserved, now)
                           : seat_grant(state, *account, want, reserved, now);
--- a/src/limits/virtual_fleet.cpp
+++ b/src/limits/virtual_fleet.cpp
@@ -75,7 +75,8 @@
     std::vector<std::string> alive;
     for (const auto& [vm, heard] : process.last_heard)
     {
-        if (vm != process.id.vm && fleet.now - heard < suspect_after)
+        if (vm != process.id.vm && fleet.now - heard < suspect_after &&
+            !fleet.processes[index_of(vm)].stopping)
         {
             alive.push_back(vm);
         }
@@ -88,16 +89,12 @@
 {
     for (const virtual_process& peer : fleet.processes)
     {
-        const bool heard = peer.running && !peer.stopping && peer.side == process.side &&
-                           fleet.now >= peer.paused_until;
+        const bool heard =
+            peer.running && peer.side == process.side && fleet.now >= peer.paused_until;
         if (heard)
         {
             process.last_heard[peer.id.vm] = fleet.now;
         }
-        else if (peer.stopping)
-        {
-            process.last_heard.erase(peer.id.vm);
-        }
     }
 }
 
@@ -145,8 +142,10 @@
     for (std::uint32_t group = 0; group < process.lease.pool_groups; ++group)
     {
         const std::string vm = known_holder(process.lease, group, now).vm;
-        const bool reachable =
-            vm == process.id.vm || std::find(alive.begin(), alive.end(), vm) != alive.end();
+        // A holder that stops as planned still lends, though it is not among the alive.
+        const auto heard = process.last_heard.find(vm);
+        const bool reachable = vm == process.id.vm || (heard != process.last_heard.end() &&
+                                                       fleet.now - heard->second < suspect_after);
         hints.holders.push_back(reachable ? vm : std::string());
     }
     send(fleet, process, tick(process.limiter, hints, now, fleet.random));
