Let the first in rank collect the votes after a split

Cause: after a split healed, votes of candidates that gave up expired one by one and went to other low ranks before the first in rank asked again, so one group had no holder for the rest of the run. Change: ranks below the first wait 1.5 s each after a lost holder, more than the 1 s between rounds, and 100 ms each only after a lease was given up.

--- a/src/fleet/majority_lease.cpp
+++ b/src/fleet/majority_lease.cpp
@@ -12,7 +12,7 @@
 
 // Rounds that bring no majority are repeated more and more rarely, to stay within the control
 // traffic budget while no majority is reachable.
-constexpr unsigned longest_ask_doubling = 3;
+constexpr unsigned longest_ask_doubling = 2;
 
 bool is_in_quarantine(const majority_lease& state, core::time_point now)
 {
@@ -128,19 +128,21 @@
     {
         // Other voters acknowledged that holder for about as long as this one did.
         candidacy.vacant_since = core::time_point{};
+        candidacy.handed_over = false;
         return false;
     }
     if (candidacy.vacant_since == core::time_point{})
     {
         candidacy.vacant_since = now;
+        const core::duration step =
+            candidacy.handed_over ? state.options.handover_delay : state.options.rank_delay;
+        const std::size_t rank = own_rank(state, group, alive);
         candidacy.delay =
-            core::from_seconds(core::uniform(random) * core::to_seconds(state.options.rank_delay));
+            rank == 0 ? core::duration::zero()
+                      : core::from_seconds(core::to_seconds(step) *
+                                           (static_cast<double>(rank) + core::uniform(random)));
     }
-    const std::size_t rank = own_rank(state, group, alive);
-    const core::duration wait =
-        rank == 0 ? core::duration::zero()
-                  : state.options.rank_delay * static_cast<int>(rank) + candidacy.delay;
-    return now >= std::max(candidacy.vacant_since + wait, candidacy.yield_until);
+    return now >= std::max(candidacy.vacant_since + candidacy.delay, candidacy.yield_until);
 }
 
 // Two candidates can each have part of the votes. The lower ranked one stops asking until its
@@ -251,6 +253,7 @@
             candidacy.last_known = {};
         }
         candidacy.rival_until = {};
+        candidacy.handed_over = true;
     }
     return {};
 }
--- a/src/fleet/majority_lease.hpp
+++ b/src/fleet/majority_lease.hpp
@@ -24,7 +24,11 @@
 {
     double clock_margin = 0.02; ///< Part of the term given up for clocks of different rate.
     core::duration ask_interval = std::chrono::milliseconds(500); ///< Between rounds of a group.
-    core::duration rank_delay = std::chrono::milliseconds(100);   ///< Per rank below the first.
+    /// Wait per rank below the first when a holder is lost. Longer than the interval between
+    /// rounds, so that the first in rank gets the votes that a split left to expire.
+    core::duration rank_delay = std::chrono::milliseconds(1500);
+    /// The same after a lease was given up: all voters are free at once and no votes are split.
+    core::duration handover_delay = std::chrono::milliseconds(100);
 };
 
 /// What this process as a voter acknowledges for a group.
@@ -42,6 +46,7 @@
     std::set<core::process_id> granted; ///< Voters that acknowledged this round.
     core::time_point held_until{};      ///< The epoch when not held.
     core::time_point vacant_since{};    ///< When no holder was known any more.
+    bool handed_over = false;           ///< The last holder gave the lease up.
     core::duration delay{};             ///< Random part of the wait of lower ranks.
     core::time_point rival_until{};     ///< Another process asked during the own quarantine.
     core::time_point yield_until{};     ///< Not asking before, in favour of another candidate.
