Refill loans with a rate at most twice a second, and lend smaller buckets

Cause: refills took tokens into 17 buckets while the pool stayed near empty. Change: 500 ms between refills before a request waits; a lent bucket holds what arrives in 0.5 s instead of 1 s.

--- a/src/limits/account_limiter.hpp
+++ b/src/limits/account_limiter.hpp
@@ -139,6 +139,7 @@
     std::deque<waiting_request> waiting;
     double demand = 0.0; ///< Arrivals a second, exponentially weighted.
     core::time_point demand_at{};
+    core::time_point next_refill{};
     core::time_point next_adjustment{}; ///< Asking for more rate without need waits for this.
     core::time_point no_loan_until{};   ///< Peers had nothing to lend.
     core::duration holder_backoff{};
--- a/src/limits/borrowing.cpp
+++ b/src/limits/borrowing.cpp
@@ -16,6 +16,8 @@
 // second attempt.
 constexpr double renewal_part = 0.3;
 constexpr core::duration adjustment_interval = std::chrono::seconds(1);
+// Between requests for tokens before any request waits.
+constexpr core::duration refill_interval = std::chrono::milliseconds(500);
 constexpr std::size_t parallel_peers = 3;
 
 bool is_holder_usable(const account_limiter& state, const account_state& account,
@@ -305,13 +307,17 @@
     {
         supply += loan.live ? loan.bucket.rate : 0.0;
     }
-    const bool is_low = runs_low(account, now);
+    const bool is_low = now >= account.next_refill && runs_low(account, now);
     const bool wants_rate = is_significant(state, demand) && demand > demand_hysteresis * supply &&
                             now >= account.next_adjustment;
     if (account.waiting.empty() && !wants_rate && !is_low)
     {
         return;
     }
+    if (is_low)
+    {
+        account.next_refill = now + refill_interval;
+    }
     if (wants_rate)
     {
         account.next_adjustment = now + adjustment_interval;
--- a/src/limits/lending.cpp
+++ b/src/limits/lending.cpp
@@ -24,7 +24,7 @@
 // Renewals change a loan only beyond this ratio, either way.
 constexpr double worthwhile_ratio = 1.4;
 // A bucket holds at most what arrives in this time, and room for two requests more.
-constexpr core::duration longest_fill = std::chrono::seconds(1);
+constexpr core::duration longest_fill = std::chrono::milliseconds(500);
 // Tokens for requests that wait are spent on receipt, so their loan needs no longer term; it ends
 // by itself without a message.
 constexpr core::duration token_loan_term = std::chrono::milliseconds(50);
