Refuse repeated lengths and unknown transfer codings; let the demo wait for the first permits

Cause: the parser accepts a repeated equal Content-Length, and reads a request with an unknown transfer coding as one without a body, so that the body would be taken for the next request. Change: both are refused with 400 and the connection is closed.

--- a/src/net/http_rules.cpp
+++ b/src/net/http_rules.cpp
@@ -81,15 +81,21 @@
 describe_request(const http_request& request)
 {
     // A repeated header would let the daemon and a backend server read different values.
-    for (const std::string_view name : {key_header, deadline_header, idempotency_header,
-                                        first_sent_header, std::string_view("Host")})
+    for (const std::string_view name :
+         {key_header, deadline_header, idempotency_header, first_sent_header,
+          std::string_view("Host"), std::string_view("Content-Length"),
+          std::string_view("Transfer-Encoding")})
     {
         if (count_header(request, name) > 1)
         {
             return node::request_error::bad_request;
         }
     }
-    if (!request.target().starts_with("/"))
+    // The parser reads a request with another transfer coding as one without a body, and would
+    // take the body for the next request.
+    const std::string_view coding = header_value(request, "Transfer-Encoding");
+    const bool readable = coding.empty() || boost::beast::iequals(coding, "chunked");
+    if (!readable || !request.target().starts_with("/"))
     {
         return node::request_error::bad_request;
     }
--- a/test/error/net/http_bad_input_test.cpp
+++ b/test/error/net/http_bad_input_test.cpp
@@ -12,8 +12,8 @@
 using test_support::one_server_configuration;
 using test_support::raw_server;
 
-const std::string whole_answer = "HTTP/1.1 200 OK\r\n" + std::string(test_support::good_load) +
-                                 "Content-Length: 5\r\n\r\nhello";
+const std::string whole_answer =
+    "HTTP/1.1 200 OK\r\n" + std::string(test_support::good_load) + "Content-Length: 5\r\n\r\nhello";
 
 struct bad_request
 {
@@ -25,16 +25,15 @@
 
 std::string long_header()
 {
-    return "GET /open HTTP/1.1\r\nHost: x\r\nX-Long: " + std::string(64 * 1024, 'a') +
-           "\r\n\r\n";
+    return "GET /open HTTP/1.1\r\nHost: x\r\nX-Long: " + std::string(64 * 1024, 'a') + "\r\n\r\n";
 }
 
 const std::vector<bad_request>& bad_requests()
 {
     static const std::vector<bad_request> cases = {
         {"conflicting_lengths",
-         "POST /open HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400,
-         "bad_request"},
+         "POST /open HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+         400, "bad_request"},
         {"repeated_lengths",
          "POST /open HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc", 400,
          "bad_request"},
@@ -56,17 +55,15 @@
         {"negative_length", "POST /open HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n", 400,
          "bad_request"},
         {"oversized_header", long_header(), 431, "headers_too_large"},
-        {"oversized_body",
-         "POST /open HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\nabc", 413,
-         "body_too_large"},
+        {"oversized_body", "POST /open HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\nabc",
+         413, "body_too_large"},
         {"absolute_target", "GET http://other/open HTTP/1.1\r\nHost: x\r\n\r\n", 400,
          "bad_request"},
         {"two_keys",
          "GET /keyed HTTP/1.1\r\nHost: x\r\nX-Zinnia-Key: secret-key\r\nX-Zinnia-Key: b\r\n\r\n",
          400, "bad_request"},
         {"malformed_deadline",
-         "GET /open HTTP/1.1\r\nHost: x\r\nX-Zinnia-Deadline-Ms: soon\r\n\r\n", 400,
-         "bad_request"},
+         "GET /open HTTP/1.1\r\nHost: x\r\nX-Zinnia-Deadline-Ms: soon\r\n\r\n", 400, "bad_request"},
         {"expired_deadline", "GET /open HTTP/1.1\r\nHost: x\r\nX-Zinnia-Deadline-Ms: 0\r\n\r\n",
          504, "deadline_expired"},
         {"unknown_key", "GET /keyed HTTP/1.1\r\nHost: x\r\nX-Zinnia-Key: guess\r\n\r\n", 401,
--- a/test/support/front_end.hpp
+++ b/test/support/front_end.hpp
@@ -4,9 +4,11 @@
 
 #include "net/http_session.hpp"
 
+#include <boost/asio/buffers_iterator.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/streambuf.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -73,8 +75,8 @@
         std::array<char, 4096> chunk;
         while (true)
         {
-            const std::size_t size = co_await socket.async_read_some(asio::buffer(chunk),
-                                                                     asio::use_awaitable);
+            const std::size_t size =
+                co_await socket.async_read_some(asio::buffer(chunk), asio::use_awaitable);
             pending.append(chunk.data(), size);
             {
                 const std::lock_guard lock(mutex_);
@@ -108,11 +110,18 @@
 public:
     explicit front_end(const std::string& configuration, net::caller_options options = {})
         : decider_(node::make_decider({.self = {"vm-1", 7}}, core::steady_now() - warm_up, {})),
-          upstream_(io_, {}, {.opened = [](const std::string&) {},
-                              .closed = [](const std::string&) {}}),
-          host_(io_, *decider_, {.send_to_peer = [](const fleet::outgoing&) {},
-                                 .probe = [this](const node::send_probe& probe)
-                                 { answer_probe(probe); }}),
+          upstream_(io_, {},
+                    {.opened = [](const std::string&) {},
+                     .closed =
+                         [](const std::string&) {
+                         }}),
+          host_(io_, *decider_,
+                {.send_to_peer = [](const fleet::outgoing&) {},
+                 .probe =
+                     [this](const node::send_probe& probe)
+                 {
+                     answer_probe(probe);
+                 }}),
           context_{host_, upstream_, durations_, options},
           acceptor_(io_, {asio::ip::make_address("127.0.0.1"), 0})
     {
@@ -189,10 +198,9 @@
         asio::post(io_,
                    [this, probe]
                    {
-                       host_.run(node::probe_ended(*decider_, probe.server,
-                                                   "inflight=0;queue=0;slots=2;state=serving",
-                                                   std::chrono::milliseconds(1),
-                                                   core::steady_now()));
+                       host_.run(node::probe_ended(
+                           *decider_, probe.server, "inflight=0;queue=0;slots=2;state=serving",
+                           std::chrono::milliseconds(1), core::steady_now()));
                    });
     }
     void accept()
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -100,7 +100,9 @@
 servers=$(sed -nE "s/.*\"name\": *\"([^\"]+)\", *\"data_centre\": *\"$centre\".*/\1/p" "$folder/config.json" | tr '\n' ' ')
 targets=$(seq -f "$ip:%g" -s, $((FLEET_PORT + 10)) $((FLEET_PORT + 9 + FLEET_DAEMONS)))
 publish 2 in
-sleep 5 # The keys spread, and the pools are led after one lease term.
+# A fresh fleet knows no warm server. The first permits come after the quarantine of the leases (10 s) and the wait of a
+# new permit holder (5 s).
+sleep 17
 
 echo "== load: $rate requests/s for $load_s s; $centre out after $out_after_s s, back after $back_after_s s"
 started=$(now_us)
