--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -7,50 +7,50 @@
 
 peer_link::peer_link(boost::asio::any_io_executor executor, peer_link_options options,
                      message_handler handler)
-    : state_(std::make_shared<peer_link_state>(std::move(executor), std::move(options),
-                                               std::move(handler)))
+    : m_state(std::make_shared<peer_link_state>(std::move(executor), std::move(options),
+                                                std::move(handler)))
 {
 }
 
 peer_link::~peer_link()
 {
-    state_->close();
+    m_state->close();
 }
 
 core::result<void> peer_link::listen()
 {
-    return state_->open_listener();
+    return m_state->open_listener();
 }
 
 std::uint16_t peer_link::port() const
 {
     boost::system::error_code error;
-    const boost::asio::ip::tcp::endpoint endpoint = state_->acceptor.local_endpoint(error);
+    const boost::asio::ip::tcp::endpoint endpoint = m_state->acceptor.local_endpoint(error);
     return error ? 0 : endpoint.port();
 }
 
 void peer_link::set_peers(const std::vector<peer_address>& peers)
 {
-    state_->set_peers(peers);
+    m_state->set_peers(peers);
 }
 
 void peer_link::send(const fleet::outgoing& message)
 {
-    state_->send(message);
+    m_state->send(message);
 }
 
 void peer_link::send(const std::vector<fleet::outgoing>& messages)
 {
     for (const fleet::outgoing& message : messages)
     {
-        state_->send(message);
+        m_state->send(message);
     }
 }
 
 std::vector<std::string> peer_link::connected() const
 {
     std::vector<std::string> out;
-    for (const auto& [vm, peer] : state_->peers)
+    for (const auto& [vm, peer] : m_state->peers)
     {
         if (peer.sender)
         {
@@ -63,8 +63,8 @@
 link_counters peer_link::counters(const std::string& vm) const
 {
     link_counters sum;
-    const auto found = state_->peers.find(vm);
-    if (found == state_->peers.end())
+    const auto found = m_state->peers.find(vm);
+    if (found == m_state->peers.end())
     {
         return sum;
     }
@@ -81,8 +81,8 @@
 
 link_counters peer_link::total() const
 {
-    link_counters sum = state_->unauthenticated;
-    for (const auto& [vm, peer] : state_->peers)
+    link_counters sum = m_state->unauthenticated;
+    for (const auto& [vm, peer] : m_state->peers)
     {
         add(sum, counters(vm));
     }
@@ -92,7 +92,7 @@
 boost::json::object peer_link::dump() const
 {
     boost::json::object links;
-    for (const auto& [vm, peer] : state_->peers)
+    for (const auto& [vm, peer] : m_state->peers)
     {
         const link_counters sum = counters(vm);
         links[vm] = {{"connected", peer.sender != nullptr},  {"bytes_in", sum.bytes_in},
@@ -101,13 +101,13 @@
                      {"frames_refused", sum.frames_refused}, {"connections", sum.connections}};
     }
     return {{"links", std::move(links)},
-            {"bad_addresses", state_->bad_addresses},
-            {"refused_unauthenticated", state_->unauthenticated.frames_refused}};
+            {"bad_addresses", m_state->bad_addresses},
+            {"refused_unauthenticated", m_state->unauthenticated.frames_refused}};
 }
 
 void peer_link::close()
 {
-    state_->close();
+    m_state->close();
 }
 
 } // namespace zinniaferry::net
--- a/src/net/peer_link.hpp
+++ b/src/net/peer_link.hpp
@@ -93,7 +93,7 @@
     void close();
 
 private:
-    std::shared_ptr<peer_link_state> state_;
+    std::shared_ptr<peer_link_state> m_state;
 };
 
 } // namespace zinniaferry::net
--- a/src/net/peer_link_state.hpp
+++ b/src/net/peer_link_state.hpp
@@ -40,10 +40,10 @@
 /// All functions run on the executor.
 struct peer_link_state : std::enable_shared_from_this<peer_link_state>
 {
-    peer_link_state(boost::asio::any_io_executor executor_, peer_link_options options_,
-                    message_handler handler_)
-        : executor(std::move(executor_)), options(std::move(options_)),
-          handler(std::move(handler_)), acceptor(executor), random(options.seed)
+    peer_link_state(boost::asio::any_io_executor m_executor, peer_link_options m_options,
+                    message_handler m_handler)
+        : executor(std::move(m_executor)), options(std::move(m_options)),
+          handler(std::move(m_handler)), acceptor(executor), random(options.seed)
     {
     }
 
--- a/src/net/peer_session.cpp
+++ b/src/net/peer_session.cpp
@@ -29,20 +29,20 @@
 
 peer_session::peer_session(asio::ip::tcp::socket socket, peer_role role,
                            const session_options& options, callbacks events)
-    : socket_(std::move(socket)), timer_(socket_.get_executor()), role_(role), options_(options),
-      events_(std::move(events))
+    : m_socket(std::move(socket)), m_timer(m_socket.get_executor()), m_role(role),
+      m_options(options), m_events(std::move(events))
 {
 }
 
 void peer_session::start(std::string expected_vm)
 {
-    expected_vm_ = std::move(expected_vm);
+    m_expected_vm = std::move(expected_vm);
     set_socket_options();
-    arm_timer(options_.handshake_timeout);
-    own_hello_ = write_hello({options_.self, draw_nonce()});
-    if (role_ == peer_role::client)
+    arm_timer(m_options.handshake_timeout);
+    m_own_hello = write_hello({m_options.self, draw_nonce()});
+    if (m_role == peer_role::client)
     {
-        write_handshake(own_hello_);
+        write_handshake(m_own_hello);
     }
     read_peer_hello();
 }
@@ -50,20 +50,20 @@
 void peer_session::set_socket_options()
 {
     error_code ignored;
-    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     const int timeout = static_cast<int>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(options_.send_timeout).count());
-    ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_options.send_timeout).count());
+    ::setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
     set_keepalive();
 }
 
 void peer_session::arm_timer(core::duration timeout)
 {
-    timer_.expires_after(timeout);
-    timer_.async_wait(
+    m_timer.expires_after(timeout);
+    m_timer.async_wait(
         [self = shared_from_this()](error_code error)
         {
-            if (!error && !self->ready_)
+            if (!error && !self->m_ready)
             {
                 self->close();
             }
@@ -77,8 +77,8 @@
     static constexpr int interval_seconds = 2;
     static constexpr int probes = 3;
     error_code ignored;
-    socket_.set_option(asio::socket_base::keep_alive(true), ignored);
-    const int handle = socket_.native_handle();
+    m_socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    const int handle = m_socket.native_handle();
     ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &idle_seconds, sizeof idle_seconds);
     ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &interval_seconds, sizeof interval_seconds);
     ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
@@ -86,20 +86,20 @@
 
 void peer_session::write_handshake(std::string bytes)
 {
-    queued_bytes_ += bytes.size();
-    queue_.push_back({std::move(bytes), false});
+    m_queued_bytes += bytes.size();
+    m_queue.push_back({std::move(bytes), false});
     write_next();
 }
 
 template <class Next>
 void peer_session::read_bytes(std::size_t size, Next next)
 {
-    buffer_.resize(size);
-    asio::async_read(socket_, asio::buffer(buffer_),
+    m_buffer.resize(size);
+    asio::async_read(m_socket, asio::buffer(m_buffer),
                      [self = shared_from_this(), next](error_code error, std::size_t bytes)
                      {
-                         self->counters_.bytes_in += bytes;
-                         if (self->closed_)
+                         self->m_counters.bytes_in += bytes;
+                         if (self->m_closed)
                          {
                              return;
                          }
@@ -119,13 +119,13 @@
     read_bytes(hello_prefix_size,
                [](peer_session& session)
                {
-                   const auto size = value_or_nothing(hello_size(session.buffer_));
+                   const auto size = value_or_nothing(hello_size(session.m_buffer));
                    if (!size)
                    {
                        session.fail();
                        return;
                    }
-                   session.peer_hello_ = session.buffer_;
+                   session.m_peer_hello = session.m_buffer;
                    session.read_bytes(*size - hello_prefix_size,
                                       [](peer_session& same) { same.take_peer_hello(); });
                });
@@ -133,21 +133,21 @@
 
 void peer_session::take_peer_hello()
 {
-    peer_hello_ += buffer_;
-    const auto peer = value_or_nothing(read_hello(peer_hello_));
+    m_peer_hello += m_buffer;
+    const auto peer = value_or_nothing(read_hello(m_peer_hello));
     // A hello that repeats the own one is a reflection; a process does not talk to its own VM.
-    if (!peer || peer->id.vm == options_.self.vm ||
-        (!expected_vm_.empty() && peer->id.vm != expected_vm_))
+    if (!peer || peer->id.vm == m_options.self.vm ||
+        (!m_expected_vm.empty() && peer->id.vm != m_expected_vm))
     {
         fail();
         return;
     }
-    peer_ = peer->id;
-    if (role_ == peer_role::server)
+    m_peer = peer->id;
+    if (m_role == peer_role::server)
     {
         const core::digest proof =
-            make_proof(options_.secret, peer_role::server, peer_hello_, own_hello_);
-        write_handshake(own_hello_ + std::string(proof.begin(), proof.end()));
+            make_proof(m_options.secret, peer_role::server, m_peer_hello, m_own_hello);
+        write_handshake(m_own_hello + std::string(proof.begin(), proof.end()));
     }
     read_peer_proof();
 }
@@ -158,24 +158,24 @@
         proof_size,
         [](peer_session& session)
         {
-            const bool client = session.role_ == peer_role::client;
-            const std::string& client_hello = client ? session.own_hello_ : session.peer_hello_;
-            const std::string& server_hello = client ? session.peer_hello_ : session.own_hello_;
+            const bool client = session.m_role == peer_role::client;
+            const std::string& client_hello = client ? session.m_own_hello : session.m_peer_hello;
+            const std::string& server_hello = client ? session.m_peer_hello : session.m_own_hello;
             const core::digest expected =
-                make_proof(session.options_.secret, client ? peer_role::server : peer_role::client,
+                make_proof(session.m_options.secret, client ? peer_role::server : peer_role::client,
                            client_hello, server_hello);
             core::digest stated{};
-            std::copy(session.buffer_.begin(), session.buffer_.end(), stated.begin());
+            std::copy(session.m_buffer.begin(), session.m_buffer.end(), stated.begin());
             if (!core::equal_in_constant_time(expected, stated))
             {
                 session.fail();
                 return;
             }
-            session.out_.key =
-                make_frame_key(session.options_.secret, session.role_, client_hello, server_hello);
-            session.in_.key = make_frame_key(session.options_.secret,
-                                             client ? peer_role::server : peer_role::client,
-                                             client_hello, server_hello);
+            session.m_out.key = make_frame_key(session.m_options.secret, session.m_role,
+                                               client_hello, server_hello);
+            session.m_in.key = make_frame_key(session.m_options.secret,
+                                              client ? peer_role::server : peer_role::client,
+                                              client_hello, server_hello);
             session.send_proof();
             session.become_ready();
         });
@@ -183,23 +183,23 @@
 
 void peer_session::send_proof()
 {
-    if (role_ == peer_role::client)
+    if (m_role == peer_role::client)
     {
         const core::digest proof =
-            make_proof(options_.secret, peer_role::client, own_hello_, peer_hello_);
+            make_proof(m_options.secret, peer_role::client, m_own_hello, m_peer_hello);
         write_handshake(std::string(proof.begin(), proof.end()));
     }
 }
 
 void peer_session::become_ready()
 {
-    ready_ = true;
-    timer_.cancel();
-    ++counters_.connections;
-    tokens_ = options_.max_frames_per_second;
-    tokens_at_ = core::steady_now();
-    events_.on_ready(*this);
-    if (!closed_)
+    m_ready = true;
+    m_timer.cancel();
+    ++m_counters.connections;
+    m_tokens = m_options.max_frames_per_second;
+    m_tokens_at = core::steady_now();
+    m_events.on_ready(*this);
+    if (!m_closed)
     {
         read_header();
     }
@@ -207,33 +207,35 @@
 
 bool peer_session::send(std::string_view payload)
 {
-    const bool full =
-        queue_.size() >= options_.max_queued_frames ||
-        (!queue_.empty() && queued_bytes_ + payload.size() > options_.max_queued_bytes);
-    if (closed_ || full || payload.size() > max_frame_payload)
+    // A part of the handshake that is still being written is no frame.
+    const std::size_t frames =
+        m_queue.size() - (!m_queue.empty() && !m_queue.front().is_frame ? 1 : 0);
+    const bool full = frames >= m_options.max_queued_frames ||
+                      (frames != 0 && m_queued_bytes + payload.size() > m_options.max_queued_bytes);
+    if (m_closed || full || payload.size() > max_frame_payload)
     {
-        ++counters_.frames_dropped;
+        ++m_counters.frames_dropped;
         return false;
     }
-    queue_.push_back({seal_frame(out_, payload)});
-    queued_bytes_ += queue_.back().bytes.size();
+    m_queue.push_back({seal_frame(m_out, payload)});
+    m_queued_bytes += m_queue.back().bytes.size();
     write_next();
     return true;
 }
 
 void peer_session::write_next()
 {
-    if (writing_ || closed_ || queue_.empty())
+    if (m_writing || m_closed || m_queue.empty())
     {
         return;
     }
-    writing_ = true;
-    asio::async_write(socket_, asio::buffer(queue_.front().bytes),
+    m_writing = true;
+    asio::async_write(m_socket, asio::buffer(m_queue.front().bytes),
                       [self = shared_from_this()](error_code error, std::size_t bytes)
                       {
-                          self->writing_ = false;
-                          self->counters_.bytes_out += bytes;
-                          if (self->closed_)
+                          self->m_writing = false;
+                          self->m_counters.bytes_out += bytes;
+                          if (self->m_closed)
                           {
                               return;
                           }
@@ -242,9 +244,9 @@
                               self->close();
                               return;
                           }
-                          self->counters_.frames_out += self->queue_.front().is_frame ? 1 : 0;
-                          self->queued_bytes_ -= self->queue_.front().bytes.size();
-                          self->queue_.pop_front();
+                          self->m_counters.frames_out += self->m_queue.front().is_frame ? 1 : 0;
+                          self->m_queued_bytes -= self->m_queue.front().bytes.size();
+                          self->m_queue.pop_front();
                           self->write_next();
                       });
 }
@@ -256,25 +258,25 @@
 
 void peer_session::take_header()
 {
-    const auto header = value_or_nothing(read_frame_header(buffer_));
+    const auto header = value_or_nothing(read_frame_header(m_buffer));
     if (!header)
     {
         fail();
         return;
     }
-    header_ = *header;
-    read_bytes(header_.size, [](peer_session& session) { session.take_payload(); });
+    m_header = *header;
+    read_bytes(m_header.size, [](peer_session& session) { session.take_payload(); });
 }
 
 // Returns how long to wait until one more frame is within the accepted rate.
 std::optional<core::duration> peer_session::wait_for_token()
 {
     const core::time_point now = core::steady_now();
-    const double rate = options_.max_frames_per_second;
-    tokens_ = std::min(rate, tokens_ + core::to_seconds(now - tokens_at_) * rate);
-    tokens_at_ = now;
-    tokens_ -= 1.0;
-    return tokens_ >= 0.0 ? std::nullopt : std::optional(core::from_seconds(-tokens_ / rate));
+    const double rate = m_options.max_frames_per_second;
+    m_tokens = std::min(rate, m_tokens + core::to_seconds(now - m_tokens_at) * rate);
+    m_tokens_at = now;
+    m_tokens -= 1.0;
+    return m_tokens >= 0.0 ? std::nullopt : std::optional(core::from_seconds(-m_tokens / rate));
 }
 
 void peer_session::take_payload()
@@ -282,17 +284,17 @@
     const bool opened = leaf::try_handle_all(
         [&]() -> leaf::result<bool>
         {
-            BOOST_LEAF_CHECK(open_frame(in_, header_, buffer_));
+            BOOST_LEAF_CHECK(open_frame(m_in, m_header, m_buffer));
             return true;
         },
         [] { return false; });
-    if (!opened || !events_.on_payload(*this, buffer_))
+    if (!opened || !m_events.on_payload(*this, m_buffer))
     {
         fail();
         return;
     }
-    ++counters_.frames_in;
-    if (closed_)
+    ++m_counters.frames_in;
+    if (m_closed)
     {
         return;
     }
@@ -302,11 +304,11 @@
         read_header();
         return;
     }
-    timer_.expires_after(*wait);
-    timer_.async_wait(
+    m_timer.expires_after(*wait);
+    m_timer.async_wait(
         [self = shared_from_this()](error_code error)
         {
-            if (!error && !self->closed_)
+            if (!error && !self->m_closed)
             {
                 self->read_header();
             }
@@ -315,22 +317,22 @@
 
 void peer_session::fail()
 {
-    ++counters_.frames_refused;
+    ++m_counters.frames_refused;
     close();
 }
 
 void peer_session::close()
 {
-    if (closed_)
+    if (m_closed)
     {
         return;
     }
-    closed_ = true;
+    m_closed = true;
     const auto keep = shared_from_this();
     error_code ignored;
-    socket_.close(ignored);
-    timer_.cancel();
-    events_.on_closed(*this);
+    m_socket.close(ignored);
+    m_timer.cancel();
+    m_events.on_closed(*this);
 }
 
 } // namespace zinniaferry::net
--- a/src/net/peer_session.hpp
+++ b/src/net/peer_session.hpp
@@ -69,11 +69,11 @@
     /// Closes the connection. Frames that are still queued are lost.
     void close();
 
-    bool is_ready() const { return ready_; }
-    bool is_closed() const { return closed_; }
-    peer_role role() const { return role_; }
-    const core::process_id& peer() const { return peer_; }
-    const link_counters& counters() const { return counters_; }
+    bool is_ready() const { return m_ready; }
+    bool is_closed() const { return m_closed; }
+    peer_role role() const { return m_role; }
+    const core::process_id& peer() const { return m_peer; }
+    const link_counters& counters() const { return m_counters; }
 
 private:
     using error_code = boost::system::error_code;
@@ -96,32 +96,32 @@
     std::optional<core::duration> wait_for_token();
     void fail();
 
-    boost::asio::ip::tcp::socket socket_;
-    boost::asio::steady_timer timer_;
-    peer_role role_;
-    session_options options_;
-    callbacks events_;
-    core::process_id peer_;
-    std::string expected_vm_;
-    std::string own_hello_;
-    std::string peer_hello_;
-    frame_stream in_;
-    frame_stream out_;
-    frame_header header_;
-    std::string buffer_;
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    peer_role m_role;
+    session_options m_options;
+    callbacks m_events;
+    core::process_id m_peer;
+    std::string m_expected_vm;
+    std::string m_own_hello;
+    std::string m_peer_hello;
+    frame_stream m_in;
+    frame_stream m_out;
+    frame_header m_header;
+    std::string m_buffer;
     struct queued
     {
         std::string bytes;
         bool is_frame = true; ///< False for parts of the handshake.
     };
-    std::deque<queued> queue_; ///< The first is being written.
-    std::size_t queued_bytes_ = 0;
-    bool writing_ = false;
-    bool ready_ = false;
-    bool closed_ = false;
-    double tokens_ = 0.0;
-    core::time_point tokens_at_{};
-    link_counters counters_;
+    std::deque<queued> m_queue; ///< The first is being written.
+    std::size_t m_queued_bytes = 0;
+    bool m_writing = false;
+    bool m_ready = false;
+    bool m_closed = false;
+    double m_tokens = 0.0;
+    core::time_point m_tokens_at{};
+    link_counters m_counters;
 };
 
 } // namespace zinniaferry::net
--- a/test/correctness/net/peer_link_test.cpp
+++ b/test/correctness/net/peer_link_test.cpp
@@ -60,7 +60,8 @@
     ASSERT_TRUE(run_until([&] { return a->link->connected().empty(); }));
     b = make_node("b", 2);
     a->link->set_peers({{"b", b->address()}});
-    ASSERT_TRUE(run_until([&] { return !a->link->connected().empty(); }));
+    ASSERT_TRUE(
+        run_until([&] { return !a->link->connected().empty() && !b->link->connected().empty(); }));
     a->link->send(numbered("b", 7));
     b->link->send(numbered("a", 8));
     ASSERT_TRUE(run_until([&] { return !a->received.empty() && !b->received.empty(); }));
--- a/test/error/net/peer_link_error_test.cpp
+++ b/test/error/net/peer_link_error_test.cpp
@@ -15,16 +15,16 @@
 class raw_client
 {
 public:
-    raw_client(asio::io_context& io, std::uint16_t port) : socket_(io)
+    raw_client(asio::io_context& io, std::uint16_t port) : m_socket(io)
     {
-        socket_.connect({asio::ip::address_v4::loopback(), port});
-        socket_.non_blocking(true);
+        m_socket.connect({asio::ip::address_v4::loopback(), port});
+        m_socket.non_blocking(true);
     }
 
     void write(const std::string& bytes)
     {
         boost::system::error_code ignored;
-        asio::write(socket_, asio::buffer(bytes), ignored);
+        asio::write(m_socket, asio::buffer(bytes), ignored);
     }
 
     /// Reads what has come; returns false once the connection is closed.
@@ -32,7 +32,7 @@
     {
         char buffer[4096];
         boost::system::error_code error;
-        const std::size_t size = socket_.read_some(asio::buffer(buffer), error);
+        const std::size_t size = m_socket.read_some(asio::buffer(buffer), error);
         received.append(buffer, size);
         return !error || error == asio::error::would_block;
     }
@@ -40,7 +40,7 @@
     std::string received;
 
 private:
-    tcp::socket socket_;
+    tcp::socket m_socket;
 };
 
 const hello client_hello{{"x", 9}, {}};
--- a/test/support/claims_model.hpp
+++ b/test/support/claims_model.hpp
@@ -42,22 +42,22 @@
 {
 public:
     explicit claims_model(claims_model_options options)
-        : options_(options), random_(options.seed), nodes_(options.processes)
+        : m_options(options), m_random(options.seed), m_nodes(options.processes)
     {
-        for (std::size_t i = 0; i < nodes_.size(); ++i)
+        for (std::size_t i = 0; i < m_nodes.size(); ++i)
         {
-            nodes_[i].rate = 0.99 + 0.02 * core::uniform(random_);
-            nodes_[i].skew = std::chrono::milliseconds(core::uniform_index(random_, 800)) - 400ms;
+            m_nodes[i].rate = 0.99 + 0.02 * core::uniform(m_random);
+            m_nodes[i].skew = std::chrono::milliseconds(core::uniform_index(m_random, 800)) - 400ms;
             start(i);
         }
     }
 
     void run(core::duration length)
     {
-        for (const core::time_point end = now_ + length; now_ < end; now_ += 10ms)
+        for (const core::time_point end = m_now + length; m_now < end; m_now += 10ms)
         {
             deliver_due();
-            for (std::size_t i = 0; i < nodes_.size(); ++i)
+            for (std::size_t i = 0; i < m_nodes.size(); ++i)
             {
                 step(i);
             }
@@ -65,7 +65,7 @@
         }
     }
 
-    const fault_counts& counts() const { return counts_; }
+    const fault_counts& counts() const { return m_counts; }
 
 private:
     struct waiting_claim
@@ -98,31 +98,31 @@
 
     static std::string name_of(std::size_t index) { return "vm" + std::to_string(index); }
 
-    bool chance(double part) { return core::uniform(random_) < part; }
+    bool chance(double part) { return core::uniform(m_random) < part; }
 
     core::time_point local(const node& n) const
     {
         return core::time_point(
-            core::from_seconds(1000.0 + core::to_seconds(now_.time_since_epoch()) * n.rate));
+            core::from_seconds(1000.0 + core::to_seconds(m_now.time_since_epoch()) * n.rate));
     }
 
     core::unix_time wall(core::duration skew) const
     {
         return core::unix_time(std::chrono::duration_cast<std::chrono::milliseconds>(
-            now_.time_since_epoch() + skew + 1'000'000s));
+            m_now.time_since_epoch() + skew + 1'000'000s));
     }
 
     void start(std::size_t index)
     {
-        node& n = nodes_[index];
+        node& n = m_nodes[index];
         n.waiting.clear();
-        n.state = make_claims({.self = {name_of(index), random_()},
-                               .max_vms = options_.processes,
-                               .idempotency_window = options_.window,
+        n.state = make_claims({.self = {name_of(index), m_random()},
+                               .max_vms = m_options.processes,
+                               .idempotency_window = m_options.window,
                                .page_records = 2},
                               local(n), wall(n.skew));
         std::vector<std::string> peers;
-        for (std::size_t i = 0; i < nodes_.size(); ++i)
+        for (std::size_t i = 0; i < m_nodes.size(); ++i)
         {
             if (i != index)
             {
@@ -130,7 +130,7 @@
             }
         }
         set_peers(n.state, peers);
-        if (options_.fault == voter_fault::skips_copying)
+        if (m_options.fault == voter_fault::skips_copying)
         {
             n.state.standing = voter_standing::voter;
         }
@@ -142,45 +142,46 @@
         {
             if (chance(0.05))
             {
-                ++counts_.lost;
+                ++m_counts.lost;
                 continue;
             }
             const int copies = chance(0.05) ? 2 : 1;
-            counts_.repeated += copies - 1;
+            m_counts.repeated += copies - 1;
             for (int i = 0; i < copies; ++i)
             {
-                core::duration delay = core::from_seconds(0.001 + 0.01 * core::uniform(random_));
+                core::duration delay = core::from_seconds(0.001 + 0.01 * core::uniform(m_random));
                 if (chance(0.05))
                 {
-                    ++counts_.delayed;
-                    delay = core::from_seconds(4.0 * core::uniform(random_));
+                    ++m_counts.delayed;
+                    delay = core::from_seconds(4.0 * core::uniform(m_random));
                 }
-                network_.emplace(now_ + delay, packet{std::stoul(out.to_vm.substr(2)),
-                                                      {nodes_[from].state.options.self, out.body}});
+                m_network.emplace(m_now + delay,
+                                  packet{std::stoul(out.to_vm.substr(2)),
+                                         {m_nodes[from].state.options.self, out.body}});
             }
         }
     }
 
     void deliver_due()
     {
-        while (!network_.empty() && network_.begin()->first <= now_)
+        while (!m_network.empty() && m_network.begin()->first <= m_now)
         {
-            const packet arrived = std::move(network_.begin()->second);
-            network_.erase(network_.begin());
-            node& n = nodes_[arrived.to];
-            if (now_ < n.paused_until)
+            const packet arrived = std::move(m_network.begin()->second);
+            m_network.erase(m_network.begin());
+            node& n = m_nodes[arrived.to];
+            if (m_now < n.paused_until)
             {
-                network_.emplace(n.paused_until, arrived);
+                m_network.emplace(n.paused_until, arrived);
                 continue;
             }
-            if (options_.fault == voter_fault::forgets)
+            if (m_options.fault == voter_fault::forgets)
             {
                 n.state.records.clear();
             }
             std::visit(
                 [&](const auto& body)
                 {
-                    if constexpr (requires { handle(n.state, arrived.content.from, body, now_); })
+                    if constexpr (requires { handle(n.state, arrived.content.from, body, m_now); })
                     {
                         send(arrived.to, handle(n.state, arrived.content.from, body, local(n)));
                     }
@@ -191,19 +192,19 @@
 
     void step(std::size_t index)
     {
-        node& n = nodes_[index];
-        if (now_ < n.paused_until)
+        node& n = m_nodes[index];
+        if (m_now < n.paused_until)
         {
             return;
         }
-        send(index, tick(n.state, wall(n.skew), local(n), random_));
+        send(index, tick(n.state, wall(n.skew), local(n), m_random));
         for (const claim_event& event : take_events(n.state))
         {
             take_event(n, event);
         }
         for (auto entry = n.waiting.begin(); entry != n.waiting.end();)
         {
-            if (entry->second.claimed && now_ >= entry->second.use_at)
+            if (entry->second.claimed && m_now >= entry->second.use_at)
             {
                 use(index, entry->first, entry->second.key);
                 entry = n.waiting.erase(entry);
@@ -218,9 +219,9 @@
     void take_event(node& n, const claim_event& event)
     {
         waiting_claim& claim = n.waiting[event.claim_id];
-        counts_.claimed += event.outcome == claim_outcome::claimed ? 1 : 0;
-        counts_.taken += event.outcome == claim_outcome::taken ? 1 : 0;
-        counts_.failed += event.outcome == claim_outcome::failed ? 1 : 0;
+        m_counts.claimed += event.outcome == claim_outcome::claimed ? 1 : 0;
+        m_counts.taken += event.outcome == claim_outcome::taken ? 1 : 0;
+        m_counts.failed += event.outcome == claim_outcome::failed ? 1 : 0;
         if (event.outcome != claim_outcome::claimed)
         {
             n.waiting.erase(event.claim_id);
@@ -228,44 +229,45 @@
         }
         claim.claimed = true;
         // Some requests wait for a server, a few of them longer than the claim's term.
-        claim.use_at = chance(0.2) ? now_ + core::from_seconds(3.0 * core::uniform(random_)) : now_;
+        claim.use_at =
+            chance(0.2) ? m_now + core::from_seconds(3.0 * core::uniform(m_random)) : m_now;
     }
 
     void use(std::size_t index, std::uint64_t claim_id, std::uint64_t key)
     {
-        node& n = nodes_[index];
+        node& n = m_nodes[index];
         if (start_forwarding(n.state, claim_id, local(n)))
         {
-            ++counts_.forwarded;
-            key_history& history = keys_[key];
-            if (history.forwarded && now_ - *history.forwarded < options_.window)
+            ++m_counts.forwarded;
+            key_history& history = m_keys[key];
+            if (history.forwarded && m_now - *history.forwarded < m_options.window)
             {
-                ++counts_.too_early;
+                ++m_counts.too_early;
             }
-            history.forwarded = now_;
+            history.forwarded = m_now;
         }
         else
         {
-            ++counts_.late_wakes;
+            ++m_counts.late_wakes;
         }
         send(index, end_claim(n.state, claim_id, local(n)));
     }
 
     void begin(std::size_t index)
     {
-        node& n = nodes_[index];
+        node& n = m_nodes[index];
         // A key is in use for a minute, so that it is also claimed after its records expired.
         const auto minute =
-            static_cast<std::uint64_t>(core::to_seconds(now_.time_since_epoch()) / 60);
-        const std::uint64_t key = 4 * minute + core::uniform_index(random_, 4);
-        const bool is_new = !keys_.contains(key);
-        key_history& history = keys_[key];
-        history.first_sent = is_new ? now_ : history.first_sent;
-        const core::duration since = now_ - history.first_sent;
+            static_cast<std::uint64_t>(core::to_seconds(m_now.time_since_epoch()) / 60);
+        const std::uint64_t key = 4 * minute + core::uniform_index(m_random, 4);
+        const bool is_new = !m_keys.contains(key);
+        key_history& history = m_keys[key];
+        history.first_sent = is_new ? m_now : history.first_sent;
+        const core::duration since = m_now - history.first_sent;
         const core::unix_time label = chance(0.5) ? wall(-since) : core::unix_time();
         begun_claim begun = begin_claim(n.state, "account", std::to_string(key), label,
                                         local(n) + 1500ms, local(n));
-        ++counts_.claims;
+        ++m_counts.claims;
         n.waiting[begun.claim_id].key = key;
         send(index, std::move(begun.messages));
     }
@@ -273,7 +275,7 @@
     std::size_t count_starting() const
     {
         std::size_t count = 0;
-        for (const node& n : nodes_)
+        for (const node& n : m_nodes)
         {
             count += n.state.standing != voter_standing::voter ? 1 : 0;
         }
@@ -282,48 +284,48 @@
 
     void inject()
     {
-        const std::size_t index = core::uniform_index(random_, nodes_.size());
-        if (chance(0.06) && now_ >= nodes_[index].paused_until)
+        const std::size_t index = core::uniform_index(m_random, m_nodes.size());
+        if (chance(0.06) && m_now >= m_nodes[index].paused_until)
         {
             begin(index);
-            begin(core::uniform_index(random_, nodes_.size()));
+            begin(core::uniform_index(m_random, m_nodes.size()));
         }
         if (chance(0.003))
         {
-            ++counts_.pauses;
-            nodes_[index].paused_until = now_ + core::from_seconds(5.0 * core::uniform(random_));
+            ++m_counts.pauses;
+            m_nodes[index].paused_until = m_now + core::from_seconds(5.0 * core::uniform(m_random));
         }
-        const std::size_t minority = nodes_.size() - majority_of(options_.processes);
+        const std::size_t minority = m_nodes.size() - majority_of(m_options.processes);
         if (chance(0.002) && count_starting() < minority)
         {
-            ++counts_.restarts;
+            ++m_counts.restarts;
             start(index);
         }
-        if (options_.restarts_of_all && chance(0.0002))
+        if (m_options.restarts_of_all && chance(0.0002))
         {
-            ++counts_.restarts_of_all;
-            for (std::size_t i = 0; i < nodes_.size(); ++i)
+            ++m_counts.restarts_of_all;
+            for (std::size_t i = 0; i < m_nodes.size(); ++i)
             {
                 start(i);
             }
         }
-        if (now_ >= next_replacement_ && count_starting() == 0)
+        if (m_now >= m_next_replacement && count_starting() == 0)
         {
-            ++counts_.replacements;
-            start(replaced_++ % nodes_.size());
-            next_replacement_ = now_ + 1s;
+            ++m_counts.replacements;
+            start(m_replaced++ % m_nodes.size());
+            m_next_replacement = m_now + 1s;
         }
     }
 
-    claims_model_options options_;
-    core::random_generator random_;
-    core::time_point now_{};
-    std::vector<node> nodes_;
-    std::multimap<core::time_point, packet> network_;
-    std::map<std::uint64_t, key_history> keys_;
-    core::time_point next_replacement_{40s};
-    std::size_t replaced_ = 0;
-    fault_counts counts_;
+    claims_model_options m_options;
+    core::random_generator m_random;
+    core::time_point m_now{};
+    std::vector<node> m_nodes;
+    std::multimap<core::time_point, packet> m_network;
+    std::map<std::uint64_t, key_history> m_keys;
+    core::time_point m_next_replacement{40s};
+    std::size_t m_replaced = 0;
+    fault_counts m_counts;
 };
 
 } // namespace zinniaferry::fleet::test
