--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -118,8 +118,9 @@
     return entries;
 }
 
-// The number of heartbeats that arrive varies: in 0.2% of the time a process hears only 3 of the
-// 12 that it gets in 4 s on average. So it asks for answers before it would count as isolated.
+// The number of heartbeats that arrive varies: of the 12 that a process gets in 4 s on average it
+// gets at most 3 in 0.2% of the time (Poisson). So it asks for answers before it would count as
+// isolated.
 bool lacks_evidence(const membership& state, core::time_point now)
 {
     const core::duration limit = state.options.isolation_limit;
