--- a/test/correctness/limits/invariant_test.cpp
+++ b/test/correctness/limits/invariant_test.cpp
@@ -1,5 +1,6 @@
 // Property test: no window admits more than rate x window + burst, whatever the network and the
 // processes do. Everything repeats from the seed.
+#include "limits/capacity.hpp"
 #include "limits/virtual_fleet.hpp"
 
 #include <gtest/gtest.h>
@@ -46,6 +47,7 @@
 struct run_result
 {
     double worst_excess = -1e9;
+    double worst_capacity = 0.0; ///< Live rates or caps of an account, as part of its limit.
     std::uint64_t admitted = 0;
     std::uint64_t refused = 0;
     fault_counts faults;
@@ -96,6 +98,7 @@
                 schedule_change();
             }
             apply_due_change();
+            check_capacity();
             if (fleet.now >= next_fault)
             {
                 cause_fault();
@@ -150,6 +153,36 @@
         }
     }
 
+    // The bound over windows has slack where tokens are lost; the sums of live rates and caps,
+    // which it follows from, show an error at once.
+    void check_capacity()
+    {
+        for (const auto& [name, limit] : fleet.now < settled_at ? whole : settled)
+        {
+            double rate = 0.0;
+            double cap = 0.0;
+            for (const virtual_process& process : fleet.processes)
+            {
+                const auto found = process.limiter.accounts.find(name);
+                if (!process.running || found == process.limiter.accounts.end())
+                {
+                    continue;
+                }
+                // A copy, as a paused process would find it if it woke now.
+                account_limiter limiter = process.limiter;
+                account_state account = found->second;
+                refresh(limiter, account, fleet.now + process.clock_offset);
+                for (const share* bucket : usable_shares(account))
+                {
+                    rate += bucket->rate;
+                    cap += bucket->cap;
+                }
+            }
+            result.worst_capacity =
+                std::max({result.worst_capacity, rate / limit.rate, cap / limit.burst});
+        }
+    }
+
     void schedule_change()
     {
         fleet.config = second_configuration();
@@ -232,11 +265,12 @@
     {
         const run_result result = run(GetParam(), seed).carry_out();
         const fault_counts& faults = result.faults;
-        std::printf("%s seed %llu: excess %.6f, admitted %llu, refused %llu; lost %llu, duplicated "
+        std::printf("%s seed %llu: excess %.6f, capacity %.6f, admitted %llu, refused %llu; lost "
+                    "%llu, duplicated "
                     "%llu, late %llu, cut %llu, pauses %llu, restarts %llu, planned stops %llu, "
                     "configurations %llu\n",
                     GetParam().name, static_cast<unsigned long long>(seed), result.worst_excess,
-                    static_cast<unsigned long long>(result.admitted),
+                    result.worst_capacity, static_cast<unsigned long long>(result.admitted),
                     static_cast<unsigned long long>(result.refused),
                     static_cast<unsigned long long>(faults.lost),
                     static_cast<unsigned long long>(faults.duplicated),
@@ -247,6 +281,7 @@
                     static_cast<unsigned long long>(faults.planned_stops),
                     static_cast<unsigned long long>(faults.configurations));
         EXPECT_LE(result.worst_excess, rounding) << "seed " << seed;
+        EXPECT_LE(result.worst_capacity, 1.0 + rounding) << "seed " << seed;
         EXPECT_GT(faults.pauses * faults.restarts * faults.planned_stops * faults.configurations,
                   0U);
         admitted += result.admitted;
