--- a/test/correctness/limits/account_limiter_test.cpp
+++ b/test/correctness/limits/account_limiter_test.cpp
@@ -194,6 +194,17 @@
     EXPECT_EQ(try_admit(state, "a", 3, start + 20s, start + 11s).result, verdict::refused);
 }
 
+// Guards against tokens kept over a lapse in which another process may have held the pool.
+TEST(account_limiter, empties_a_pool_whose_lease_lapsed_unnoticed)
+{
+    account_limiter state = make_account_limiter({.vm = "b"}, {}, start);
+    apply_configuration(state, with_account(0.1, 3), start);
+    set_pool(state, 0, start + 60s, start);
+    ASSERT_EQ(try_admit(state, "a", 1, start + 90s, start + 40s).result, verdict::admitted);
+    set_pool(state, 0, start + 90s, start + 61s);
+    EXPECT_EQ(try_admit(state, "a", 2, start + 90s, start + 61s).result, verdict::refused);
+}
+
 // Guards against a lease that is given up while loans from its pool are in use.
 TEST(account_limiter, tells_until_when_a_pool_is_lent)
 {
