--- a/src/limits/borrowing.cpp
+++ b/src/limits/borrowing.cpp
@@ -25,10 +25,25 @@
            now >= account.holder_refused_until;
 }
 
+// More than this many times the demand per process that would use up the rate.
+constexpr double concentrated_traffic = 2.0;
+
+bool is_above_fair_share(const account_limiter& state, const account_state& account,
+                         core::time_point now)
+{
+    const double demand = demand_now(state, account, now);
+    return is_significant(state, demand) &&
+           demand * state.max_vms > concentrated_traffic * account.rate;
+}
+
 bool are_peers_usable(const account_limiter& state, const account_state& account,
                       core::time_point now)
 {
-    return account.seat_fraction > 0.0 && now >= account.no_loan_until && !state.alive.empty();
+    // While a holder is known, peers are asked only by a process with so much traffic that seats of
+    // others are likely to be idle; otherwise every short gap would cost three messages and
+    // answers.
+    return account.seat_fraction > 0.0 && now >= account.no_loan_until && !state.alive.empty() &&
+           (account.holder.empty() || is_above_fair_share(state, account, now));
 }
 
 bool is_pending(const borrowed_share& loan)
@@ -44,6 +59,28 @@
     return found == account.borrowed.end() ? nullptr : &*found;
 }
 
+// Tokens that a loan with a rate can take up; a loan of whole tokens is not filled again.
+double room_in(borrowed_share& loan, core::time_point now)
+{
+    advance(loan.bucket, now);
+    return loan.live && loan.bucket.rate > 0.0 ? loan.bucket.cap - loan.bucket.tokens : 0.0;
+}
+
+// Whether a process with a rate of its own is about to run out: asking before a request has to
+// wait costs the same messages and no waiting.
+bool runs_low(account_state& account, core::time_point now)
+{
+    double tokens = account.seat.bucket.tokens + account.pool.bucket.tokens;
+    bool has_rate = false;
+    for (borrowed_share& loan : account.borrowed)
+    {
+        advance(loan.bucket, now);
+        tokens += loan.live ? loan.bucket.tokens : 0.0;
+        has_rate = has_rate || (loan.live && loan.bucket.rate > 0.0);
+    }
+    return has_rate && tokens < 1.0;
+}
+
 void ask(account_limiter& state, account_state& account, const std::string& lender,
          core::time_point now)
 {
@@ -62,10 +99,11 @@
     ++loan->generation;
     loan->pending = true;
     loan->asked = now;
-    state.batches[lender].wants.push_back({.account = account.name,
-                                           .loan_id = loan_id(loan->chain, loan->generation),
-                                           .demand = demand_now(state, account, now),
-                                           .tokens = static_cast<double>(account.waiting.size())});
+    state.batches[lender].wants.push_back(
+        {.account = account.name,
+         .loan_id = loan_id(loan->chain, loan->generation),
+         .demand = demand_now(state, account, now),
+         .tokens = static_cast<double>(account.waiting.size()) + room_in(*loan, now)});
 }
 
 void end_unanswered(account_limiter& state, account_state& account, core::time_point now)
@@ -142,11 +180,11 @@
     }
 }
 
-void back_off(const account_limiter& state, account_state& account)
+void lengthen(const account_limiter& state, core::duration& backoff)
 {
-    account.backoff = account.backoff == core::duration::zero()
-                          ? state.options.first_backoff
-                          : std::min(2 * account.backoff, state.options.longest_backoff);
+    backoff = backoff == core::duration::zero()
+                  ? state.options.first_backoff
+                  : std::min(2 * backoff, state.options.longest_backoff);
 }
 
 void note_refusal(account_limiter& state, account_state& account, const std::string& lender,
@@ -154,13 +192,13 @@
 {
     if (lender == account.holder)
     {
-        back_off(state, account);
-        account.holder_refused_until = now + account.backoff;
+        lengthen(state, account.holder_backoff);
+        account.holder_refused_until = now + account.holder_backoff;
     }
     else if (std::none_of(account.borrowed.begin(), account.borrowed.end(), is_pending))
     {
-        back_off(state, account);
-        account.no_loan_until = now + account.backoff;
+        lengthen(state, account.peer_backoff);
+        account.no_loan_until = now + account.peer_backoff;
     }
 }
 
@@ -218,13 +256,13 @@
                     .last = now,
                     .expires = expires};
     loan->live = true;
-    if (lent.tokens + 1.0 < static_cast<double>(account->waiting.size()))
+    if (kept + lent.tokens < std::max(1.0, static_cast<double>(account->waiting.size())))
     {
         note_refusal(state, *account, lender, now);
     }
     else
     {
-        account->backoff = core::duration::zero();
+        (lender == account->holder ? account->holder_backoff : account->peer_backoff) = {};
     }
 }
 
@@ -267,9 +305,10 @@
     {
         supply += loan.live ? loan.bucket.rate : 0.0;
     }
+    const bool is_low = runs_low(account, now);
     const bool wants_rate = is_significant(state, demand) && demand > demand_hysteresis * supply &&
                             now >= account.next_adjustment;
-    if (account.waiting.empty() && !wants_rate)
+    if (account.waiting.empty() && !wants_rate && !is_low)
     {
         return;
     }
