--- a/src/history/run.cpp
+++ b/src/history/run.cpp
@@ -7,6 +7,7 @@
 #include <boost/leaf.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace zinniaferry::history
 {
@@ -107,8 +108,9 @@
     deployment_start out;
     for (config::account_options& account : options.accounts)
     {
-        account.rate *= part;
-        account.burst *= part;
+        // The canonical text keeps a few decimals only.
+        account.rate = std::round(account.rate * part * 100.0) / 100.0;
+        account.burst = std::round(account.burst * part * 100.0) / 100.0;
         out.keys[account.name] = account.keys.front();
     }
     return boost::leaf::try_handle_all(
