--- a/src/history/faults.cpp
+++ b/src/history/faults.cpp
@@ -420,7 +420,7 @@
         {"slow_server", {server, factor, seconds}, slow_server, 2},
         {"failing_server", {server, seconds}, failing_server, 2},
         {"restart_server", {server, seconds}, restart_one_server, 2},
-        {"cold_server", {server}, cold_server, 3},
+        {"cold_server", {server}, cold_server, 5},
         {"drain_server", {server, seconds}, drain_server, 1},
         {"leave_server", {server, seconds}, leave_server, 1},
         {"remove_server", {server, seconds}, remove_server, 1},
--- a/src/history/observer.cpp
+++ b/src/history/observer.cpp
@@ -268,6 +268,17 @@
     }
 }
 
+// Counts a request that the limit decided on at the bucket that one process with all requests
+// would have.
+void count_ideal(account_bucket& bucket)
+{
+    if (bucket.ideal_tokens >= 1.0)
+    {
+        bucket.ideal_tokens -= 1.0;
+        ++bucket.ideal;
+    }
+}
+
 } // namespace
 
 void begin(observer& state, const simulation& sim)
@@ -286,8 +297,11 @@
     {
         for (const config::account& account : after.accounts)
         {
-            state.buckets[account.name] = {account.rate, account.burst, account.burst,
-                                           sim.queue.now};
+            state.buckets[account.name] = {.rate = account.rate,
+                                           .burst = account.burst,
+                                           .tokens = account.burst,
+                                           .at = sim.queue.now,
+                                           .ideal_tokens = account.burst};
         }
         state.known.resize(sim.processes.size());
         state.version_of_slot.resize(sim.processes.size());
@@ -340,6 +354,7 @@
         for (; seen < counters.admitted; ++seen)
         {
             bucket.tokens -= 1.0;
+            count_ideal(bucket);
             ++bucket.admitted;
             check(state, sim, 5, bucket.tokens >= -rounding,
                   fmt::format("account {} is {:.6f} requests over rate {} and burst {}, at {}",
@@ -521,6 +536,7 @@
     {
         advance(*bucket, sim.queue.now);
         ++bucket->over_limit;
+        count_ideal(*bucket);
         bucket->wrongful += bucket->tokens >= 1.0 ? 1 : 0;
     }
 }
--- a/src/history/observer.hpp
+++ b/src/history/observer.hpp
@@ -42,6 +42,8 @@
     std::uint64_t admitted = 0;
     std::uint64_t over_limit = 0;
     std::uint64_t wrongful = 0; ///< Refused over the limit with a whole token here.
+    double ideal_tokens = 0.0;  ///< Of a bucket that sees every request at its end.
+    std::uint64_t ideal = 0;    ///< Admissions of that bucket, of those admitted or over the limit.
 };
 
 /// What a process could have learned.
--- a/src/history/report.cpp
+++ b/src/history/report.cpp
@@ -65,6 +65,7 @@
         bucket.admitted += added.admitted;
         bucket.over_limit += added.over_limit;
         bucket.wrongful += added.wrongful;
+        bucket.ideal += added.ideal;
     }
     for (const auto& [name, value] : more.counters)
     {
@@ -83,11 +84,12 @@
         out += fmt::format("R{:<3} {:<55} {:>8} {:>11}\n", i, guarantee_text(i), entry.checks,
                            entry.violations);
     }
-    out += "accounts, worst first                   requests  admitted  over limit  wrongful\n";
+    out += "accounts, worst first                   requests  admitted  over limit  wrongful     "
+           "ideal\n";
     for (const auto& [name, bucket] : worst_first(report))
     {
-        out += fmt::format("  {:<36} {:>9} {:>9} {:>11} {:>9}\n", name, bucket.requests,
-                           bucket.admitted, bucket.over_limit, bucket.wrongful);
+        out += fmt::format("  {:<36} {:>9} {:>9} {:>11} {:>9} {:>9}\n", name, bucket.requests,
+                           bucket.admitted, bucket.over_limit, bucket.wrongful, bucket.ideal);
     }
     out += "counts\n";
     for (const auto& [name, value] : report.counters)
@@ -114,7 +116,8 @@
                             {"requests", bucket.requests},
                             {"admitted", bucket.admitted},
                             {"over_limit", bucket.over_limit},
-                            {"wrongful", bucket.wrongful}});
+                            {"wrongful", bucket.wrongful},
+                            {"ideal", bucket.ideal}});
     }
     boost::json::object counters;
     for (const auto& [name, value] : report.counters)
--- a/src/history/run.cpp
+++ b/src/history/run.cpp
@@ -28,7 +28,7 @@
 constexpr core::duration traffic_start = 12s;
 /// The longest deadline, and a pause that begins with the last call.
 constexpr core::duration drain_time = 25s;
-constexpr core::duration revert_at = 30s;
+constexpr core::duration injection_at = 30s;
 constexpr std::uint64_t schedule_salt = 0x5EED5EED5EEDULL;
 
 config::deployment deployment_of(std::string_view name)
@@ -58,12 +58,49 @@
     {
         if (at.running && !at.node->spread.history.empty())
         {
-            at.node->spread.current = at.node->spread.history.back();
+            fleet::config_version older = at.node->spread.history.back();
+            older.configuration = std::make_shared<const config::configuration>(
+                sim.versions[older.version - 1].configuration);
+            at.node->spread.current = std::move(older);
             return;
         }
     }
 }
 
+// Makes the occasion at which a deliberate fault shows itself.
+void start_injection(simulation& sim)
+{
+    if (sim.options.inject == injection::version_revert)
+    {
+        publish(sim, [](config::configuration&) {});
+        schedule(sim.queue, sim.queue.now + 1s, [&sim] { revert_version(sim); });
+    }
+    if (sim.options.inject == injection::blind_retry)
+    {
+        // Orders wait at slow servers until these restart.
+        for (const auto& [name, server] : sim.servers)
+        {
+            if (name.starts_with("orders") || name.starts_with("approvals"))
+            {
+                apply_fault(sim, {.kind = "slow_server", .arguments = {name, "20", "3"}});
+                schedule(sim.queue, sim.queue.now + 2s,
+                         [&sim, name = name] {
+                             apply_fault(sim, {.kind = "restart_server", .arguments = {name, "1"}});
+                         });
+            }
+        }
+    }
+    if (sim.options.inject == injection::double_grant)
+    {
+        apply_fault(sim,
+                    {.kind = "greedy_account", .arguments = {sim.keys.begin()->first, "10", "30"}});
+    }
+    if (sim.options.inject == injection::stale_key)
+    {
+        apply_fault(sim, {.kind = "withdraw_key", .arguments = {sim.keys.begin()->first}});
+    }
+}
+
 void add_order_counters(const simulation& sim, const observer& watcher, run_report& report)
 {
     for (const call& request : sim.calls)
@@ -152,12 +189,7 @@
     {
         schedule(sim->queue, beginning + event.at, [&sim, &event] { apply_fault(*sim, event); });
     }
-    if (options.inject == injection::version_revert)
-    {
-        schedule(sim->queue, beginning + revert_at,
-                 [&sim] { publish(*sim, [](config::configuration&) {}); });
-        schedule(sim->queue, beginning + revert_at + 1s, [&sim] { revert_version(*sim); });
-    }
+    schedule(sim->queue, beginning + injection_at, [&sim] { start_injection(*sim); });
     sample_later(*sim, watcher, end + drain_time);
     run_until(sim->queue, end + drain_time);
     finish(watcher, *sim);
--- a/src/history/trace.cpp
+++ b/src/history/trace.cpp
@@ -37,7 +37,8 @@
                                                              "R9.cut_off",
                                                              "R4.majority_without_service",
                                                              "R2.in_flight_at_unannounced_turn"};
-constexpr std::array<std::string_view, 3> account_counters = {"admitted", "over_limit", "wrongful"};
+constexpr std::array<std::string_view, 4> account_counters = {"admitted", "over_limit", "wrongful",
+                                                              "ideal"};
 
 struct line_reader
 {
@@ -333,7 +334,7 @@
     for (const auto& [name, bucket] : report.accounts)
     {
         const std::array<std::uint64_t, account_counters.size()> values = {
-            bucket.admitted, bucket.over_limit, bucket.wrongful};
+            bucket.admitted, bucket.over_limit, bucket.wrongful, bucket.ideal};
         for (std::size_t i = 0; i < values.size(); ++i)
         {
             if (counter == fmt::format("account.{}.{}", name, account_counters.at(i)))
