Use a granted cold permit with the next request of its service

Cause: a request that drew the turn of a cold server asked for a permit and went to a warm server. The grant came back unused unless another request drew the same turn within 50 ms. Change: the next request of the service takes the permit whatever its own turn is.

--- a/src/history/observer.hpp
+++ b/src/history/observer.hpp
@@ -50,6 +50,7 @@
 struct knowledge
 {
     std::uint64_t reachable_version = 0; ///< The highest from the service or the majority around.
+    std::uint64_t reported = 0; ///< Highest version whose absence was found to be a violation.
     bool in_majority = false;
     std::vector<core::time_point> since; ///< By version less 1; max() when it cannot be learned.
     core::time_point
--- a/src/node/request_flow.cpp
+++ b/src/node/request_flow.cpp
@@ -201,9 +201,36 @@
     return permit ? std::optional(server_choice{*cold, permit}) : std::nullopt;
 }
 
+// Takes a permit that was asked for earlier. It goes back unused soon after the holder granted it,
+// so the next request of the service uses it whatever that request's own turn is.
+std::optional<server_choice> choose_granted(decider& state, const request_record& record,
+                                            core::time_point now)
+{
+    for (const auto& [id, permit] : state.permits.held)
+    {
+        const auto index = permit.granted && !permit.in_use
+                               ? routing::find_server(state.servers, permit.server)
+                               : std::nullopt;
+        if (!index || state.servers.servers[*index].service != record.service ||
+            !routing::may_try_cold(state.servers, state.weights, *index, now))
+        {
+            continue;
+        }
+        if (const auto use = routing::use_permit(state.permits, permit.server, now))
+        {
+            return server_choice{*index, use};
+        }
+    }
+    return std::nullopt;
+}
+
 std::optional<server_choice> choose_server(decider& state, const request_record& record,
                                            core::time_point now, action_list& actions)
 {
+    if (auto granted = choose_granted(state, record, now))
+    {
+        return granted;
+    }
     const bool warm_up_turn =
         core::uniform(state.random) < cold_part.at(static_cast<std::size_t>(record.priority));
     if (warm_up_turn)
--- a/src/routing/selection.cpp
+++ b/src/routing/selection.cpp
@@ -149,6 +149,16 @@
     return best;
 }
 
+bool may_try_cold(const server_table& table, const data_centre_weights& weights, server_index index,
+                  core::time_point now)
+{
+    const server& entry = table.servers[index];
+    // A suspect server waits for its probe even when it has lost its evidence.
+    return accepts_work(entry) && entry.state != server_state::suspect &&
+           needs_permit(table, entry, now) && entry.in_flight < entry.connection_limit &&
+           weight_of(weights, entry.data_centre, now) > 0.0;
+}
+
 std::optional<server_index> select_cold(const server_table& table,
                                         const data_centre_weights& weights, service_index service,
                                         core::time_point now, core::random_generator& random)
@@ -156,17 +166,10 @@
     server_list list;
     for (const server_index index : table.services[service].servers)
     {
-        const server& entry = table.servers[index];
-        // A suspect server waits for its probe even when it has lost its evidence.
-        if (!accepts_work(entry) || entry.state == server_state::suspect ||
-            !needs_permit(table, entry, now) || entry.in_flight >= entry.connection_limit)
-        {
-            continue;
-        }
-        const double weight = weight_of(weights, entry.data_centre, now);
-        if (weight > 0.0)
+        if (may_try_cold(table, weights, index, now))
         {
-            list.push_back({.index = index, .weight = weight});
+            list.push_back({.index = index,
+                            .weight = weight_of(weights, table.servers[index].data_centre, now)});
         }
     }
     return list.empty() ? std::nullopt : std::optional(draw(list, random));
--- a/src/routing/selection.hpp
+++ b/src/routing/selection.hpp
@@ -36,6 +36,11 @@
                                    std::span<const server_index> avoid, core::time_point now,
                                    core::random_generator& random);
 
+/// Returns whether a request may go to the server under a cold permit. Thread safe on a constant
+/// table.
+bool may_try_cold(const server_table& table, const data_centre_weights& weights, server_index index,
+                  core::time_point now);
+
 /// Returns a cold server that should get a request next, for which the caller asks a permit, or
 /// nothing. Not thread safe for a shared generator.
 std::optional<server_index> select_cold(const server_table& table,
