--- a/src/routing/admission_queue.cpp
+++ b/src/routing/admission_queue.cpp
@@ -38,24 +38,28 @@
 
 void note_best(admission_queue& queue, core::time_point now)
 {
-    if (now - queue.window_start > queue.options.baseline_window)
-    {
-        queue.best_latency = queue.window_best;
-        queue.window_best = {};
-        queue.window_start = now;
-    }
-    if (++queue.settling < settled_answers)
+    if (queue.settling < settled_answers)
     {
+        ++queue.settling;
         return;
     }
-    if (queue.window_best == core::duration::zero() || queue.latency < queue.window_best)
+    if (queue.best_latency == core::duration::zero())
     {
+        queue.best_latency = queue.latency;
         queue.window_best = queue.latency;
+        queue.window_start = now;
     }
-    if (queue.best_latency == core::duration::zero() || queue.latency < queue.best_latency)
+    if (now - queue.window_start > queue.options.baseline_window)
     {
-        queue.best_latency = queue.latency;
+        // A lasting overload must not become the new normal, so the best latency rises slowly.
+        constexpr double drift = 1.05;
+        const double highest = core::to_seconds(queue.best_latency) * drift;
+        queue.best_latency = std::min(queue.window_best, core::from_seconds(highest));
+        queue.window_best = queue.latency;
+        queue.window_start = now;
     }
+    queue.window_best = std::min(queue.window_best, queue.latency);
+    queue.best_latency = std::min(queue.best_latency, queue.latency);
 }
 
 void lower_limit(admission_queue& queue, core::time_point now)
--- a/src/routing/admission_queue.hpp
+++ b/src/routing/admission_queue.hpp
@@ -32,7 +32,7 @@
     double min_limit = 1.0;
     double max_limit = 1000.0;
     double tolerance = 2.0;  ///< Latency over the best recent latency that is overload.
-    double order_room = 1.0; ///< Orders may exceed the limit by this.
+    double order_room = 2.0; ///< Orders may exceed the limit by this.
     double decrease = 0.9;   ///< Factor on the limit at most once per latency.
     core::duration baseline_window = std::chrono::seconds(10); ///< Memory of the best latency.
 };
--- a/src/routing/server_table.cpp
+++ b/src/routing/server_table.cpp
@@ -105,7 +105,8 @@
 {
     service_entry& service = table.services[entry.service];
     const server_table_options& options = table.options;
-    if (is_slow(table, entry, service, latency))
+    const bool slow = is_slow(table, entry, service, latency);
+    if (slow)
     {
         if (++entry.slow_answers >= options.jump_answers)
         {
@@ -126,7 +127,7 @@
         // Without a report only the answer itself shows that the server serves.
         apply(entry, server_event::states_serving);
     }
-    if (entry.state == server_state::serving)
+    if (entry.state == server_state::serving && !slow)
     {
         entry.usual_latency = blend(entry.usual_latency, latency, options.usual_latency_gain);
     }
@@ -135,6 +136,10 @@
         entry.good_answers >= options.warm_answers)
     {
         entry.error_rate = 0.0;
+        if (entry.usual_latency == core::duration::zero())
+        {
+            entry.usual_latency = service.latency;
+        }
         apply(entry, server_event::warmed);
     }
 }
