--- a/bench/data_centre.cpp
+++ b/bench/data_centre.cpp
@@ -2,6 +2,8 @@
 /// it after 5 s, failures and latency during both moves against the steady state of the same run.
 #include "support/report.hpp"
 
+#include <cmath>
+
 namespace
 {
 
@@ -68,7 +70,7 @@
                          .seed = 7};
     const bench::fleet_result result = bench::run_all({plan}).front();
     const std::string name =
-        std::string(where.name) + "/" + std::to_string(static_cast<int>(load * 100 + 0.5));
+        std::string(where.name) + "/" + std::to_string(std::lround(load * 100));
     const bench::window after_limit{.from = out.from + 5s, .to = out.to};
     const auto late =
         std::count_if(result.work_at_centre_0.begin(), result.work_at_centre_0.end(),
--- a/bench/routing.cpp
+++ b/bench/routing.cpp
@@ -3,7 +3,7 @@
 /// A failed request counts as its timeout. Exits 1 when the selection loses to a baseline.
 #include "support/report.hpp"
 
-#include <cstdio>
+#include <cmath>
 
 namespace
 {
@@ -99,7 +99,7 @@
         good &= results[i].probe_time <= results[i].probe_budget;
     }
     const std::string name =
-        std::string(where.name) + "/" + fault + "/" + std::to_string(int(load * 100 + 0.5));
+        std::string(where.name) + "/" + fault + "/" + std::to_string(std::lround(load * 100));
     good &= report(name + "/p99", merged, 0.99);
     good &= report(name + "/p99.9", merged, 0.999);
     good &= bench::print({.name = name + "/probe_time",
--- a/bench/support/backend_model.hpp
+++ b/bench/support/backend_model.hpp
@@ -36,6 +36,28 @@
     return sum;
 }
 
+/// Returns the speed that neighbours leave next.
+inline double draw_noise(core::random_generator& random)
+{
+    double draw = core::uniform(random);
+    for (const noise_level& level : noise_levels)
+    {
+        draw -= level.part;
+        if (draw < 0.0)
+        {
+            return level.speed;
+        }
+    }
+    return 1.0;
+}
+
+/// Returns how long that speed lasts.
+inline core::duration draw_noise_length(core::random_generator& random)
+{
+    return noise_min +
+           core::from_seconds(core::to_seconds(noise_max - noise_min) * core::uniform(random));
+}
+
 /// Returns a service time from a log-normal distribution with the given mean in seconds.
 inline double draw_work(double mean, core::random_generator& random)
 {
--- a/bench/support/fleet_model.hpp
+++ b/bench/support/fleet_model.hpp
@@ -1,335 +1,129 @@
 /// A fleet of daemons in virtual time in front of one service, with the real decision code.
 #pragma once
 
-#include "backend_model.hpp"
-#include "config/model.hpp"
-#include "request/outcome.hpp"
-#include "routing/admission_queue.hpp"
-#include "routing/baselines.hpp"
-#include "routing/cold_permits.hpp"
-#include "routing/probe_budget.hpp"
-#include "routing/selection.hpp"
-
-#include <array>
-#include <functional>
-#include <optional>
-#include <queue>
-#include <string>
-#include <vector>
+#include "event_loop.hpp"
+#include "scenario.hpp"
 
 namespace zinniaferry::bench
 {
 
-using core::duration;
-using core::time_point;
-
-/// A span of virtual time since the start.
-struct window
-{
-    duration from{};
-    duration to{};
-};
-
-inline bool contains(const window& span, time_point now)
-{
-    return now.time_since_epoch() >= span.from && now.time_since_epoch() < span.to;
-}
-
-struct scenario
-{
-    std::uint32_t servers = 8;
-    std::uint32_t slots = 2;
-    std::uint32_t vms = 18;
-    std::uint32_t data_centres = 4;
-    duration between_centres = std::chrono::microseconds(1500); ///< One way.
-    double mean_work = 0.005;                                   ///< Seconds at full speed.
-    double load = 0.7;                                          ///< Part of the capacity.
-    double order_part = 0.3;
-    double lookup_part = 0.4;
-    duration timeout = std::chrono::milliseconds(500);
-    duration length = std::chrono::seconds(30);
-    window overload; ///< Time in which `overload_load` is offered.
-    double overload_load = 2.0;
-    std::uint32_t caller_retries = 0; ///< Times that a caller repeats a failed request.
-    window slow;                      ///< Server 0 runs at a tenth of its speed.
-    window fail_fast;                 ///< Server 1 answers each request with an error at once.
-    window centre_out;                ///< Data centre 0 is out.
-    std::uint32_t stale_servers = 2;
-    std::uint32_t misleading_servers = 1;
-    std::optional<routing::baseline> baseline; ///< Nothing for routing::select.
-    bool admission = true; ///< False: no queue limit and no adaptive limit, for comparison.
-    routing::selection_options selection;
-    std::uint64_t seed = 1;
-};
-
-struct sent_request
-{
-    config::request_class priority = config::request_class::lookup;
-    std::uint32_t vm = 0;
-    routing::server_index server = 0;
-    std::uint32_t attempt = 0;
-    std::uint32_t repeats_left = 0;
-    bool in_flight = false;
-    std::uint64_t permit = 0;
-    time_point arrived;
-    time_point sent;
-    request::request_life life;
-    std::vector<routing::server_index> avoid;
-};
-
-/// Decision state of one daemon.
-struct daemon_model
-{
-    routing::server_table table;
-    routing::data_centre_weights weights;
-    routing::admission_queue queue;
-    routing::cold_permits permits;
-    routing::probe_budget probes;
-    request::retry_budget retries;
-    routing::baseline_state baseline;
-    std::uint32_t data_centre = 0;
-};
-
-/// One finished request.
-struct finished_request
-{
-    config::request_class priority = config::request_class::lookup;
-    time_point arrived;
-    duration latency{};
-    bool good = false; ///< Answered without an error within the deadline.
-};
-
-struct fleet_result
-{
-    std::vector<finished_request> finished;
-    std::vector<time_point> work_at_centre_0; ///< When new work was sent there.
-    duration probe_time{};
-    duration probe_budget{};
-};
-
 /// Runs a scenario. The same scenario gives the same result each time.
 class fleet_model
 {
 public:
-    explicit fleet_model(const scenario& plan) : plan_(plan), random_(plan.seed)
+    explicit fleet_model(const scenario& wanted) : plan(wanted), generator(wanted.seed)
     {
-        config_ = make_configuration();
-        for (std::uint32_t i = 0; i < plan_.servers; ++i)
+        published = make_configuration(plan);
+        for (std::uint32_t i = 0; i < plan.servers; ++i)
         {
             backend server;
-            server.slots = plan_.slots;
-            server.queue_limit = plan_.slots * 16UL;
-            const std::uint32_t from_end = plan_.servers - 1 - i;
-            server.reports = from_end < plan_.misleading_servers ? report_kind::misleading
-                             : from_end < plan_.misleading_servers + plan_.stale_servers
+            server.slots = plan.slots;
+            server.queue_limit = plan.slots * 16UL;
+            const std::uint32_t from_end = plan.servers - 1 - i;
+            server.reports = from_end < plan.misleading_servers ? report_kind::misleading
+                             : from_end < plan.misleading_servers + plan.stale_servers
                                  ? report_kind::stale
                                  : report_kind::prompt;
-            backends_.push_back(server);
+            backends.push_back(server);
         }
-        for (std::uint32_t i = 0; i < plan_.vms; ++i)
+        for (std::uint32_t i = 0; i < plan.vms; ++i)
         {
-            daemons_.push_back(make_daemon(i));
+            daemons.push_back(make_daemon(plan, published, i));
         }
     }
 
     fleet_result run()
     {
-        for (std::uint32_t i = 0; i < plan_.servers; ++i)
+        for (std::uint32_t i = 0; i < plan.servers; ++i)
         {
             change_noise(i);
         }
-        for (std::uint32_t i = 0; i < plan_.vms; ++i)
+        for (std::uint32_t i = 0; i < plan.vms; ++i)
         {
             at(std::chrono::microseconds(500 * i), [this, i] { tick(i); });
         }
         schedule_windows();
         at(duration::zero(), [this] { arrive(); });
-        const time_point end = time_point(plan_.length + plan_.timeout);
-        while (!events_.empty() && events_.top().when <= end)
-        {
-            const event next = events_.top();
-            events_.pop();
-            now_ = next.when;
-            const std::function<void()> act = std::move(actions_[next.action]);
-            free_actions_.push_back(next.action);
-            act();
-        }
-        for (const daemon_model& daemon : daemons_)
+        const time_point end = time_point(plan.length + plan.timeout);
+        run_until(loop, end);
+        for (const daemon_model& daemon : daemons)
         {
-            const routing::probe_totals sum = routing::totals(daemon.probes, now_);
-            result_.probe_time += sum.spent;
-            result_.probe_budget += sum.earned;
+            const routing::probe_totals sum = routing::totals(daemon.probes, loop.now);
+            result.probe_time += sum.spent;
+            result.probe_budget += sum.earned;
         }
-        return std::move(result_);
+        return std::move(result);
     }
 
 private:
-    struct event
-    {
-        time_point when;
-        std::uint64_t order = 0;
-        std::size_t action = 0;
-        bool operator>(const event& other) const
-        {
-            return std::pair(when, order) > std::pair(other.when, other.order);
-        }
-    };
-
-    void at(duration delay, std::function<void()> act)
-    {
-        std::size_t place = actions_.size();
-        if (free_actions_.empty())
-        {
-            actions_.push_back(std::move(act));
-        }
-        else
-        {
-            place = free_actions_.back();
-            free_actions_.pop_back();
-            actions_[place] = std::move(act);
-        }
-        events_.push({.when = now_ + delay, .order = order_++, .action = place});
-    }
+    void at(duration delay, std::function<void()> act) { schedule(loop, delay, std::move(act)); }
 
-    config::configuration make_configuration() const
-    {
-        config::configuration out;
-        out.version = 1;
-        for (std::uint32_t i = 0; i < plan_.data_centres; ++i)
-        {
-            out.data_centres.push_back({.name = "dc" + std::to_string(i), .region = "r"});
-        }
-        config::service service{.name = "service", .slots = plan_.slots};
-        for (std::uint32_t i = 0; i < plan_.servers; ++i)
-        {
-            service.servers.push_back({.name = "s" + std::to_string(i),
-                                       .data_centre = "dc" + std::to_string(centre_of(i)),
-                                       .address = "10.0.0." + std::to_string(i)});
-        }
-        out.services.push_back(service);
-        return out;
-    }
-
-    std::uint32_t centre_of(std::uint32_t server) const { return server % plan_.data_centres; }
-
-    daemon_model make_daemon(std::uint32_t index)
-    {
-        daemon_model out;
-        const std::string name = "vm" + std::to_string(index);
-        out.data_centre = index % plan_.data_centres;
-        out.table = routing::make_server_table({.self_vm = name});
-        out.weights = routing::make_data_centre_weights({});
-        out.queue = routing::make_admission_queue(
-            plan_.admission ? routing::admission_options{}
-                            : routing::admission_options{.capacity = 100000,
-                                                         .initial_limit = 1e5,
-                                                         .min_limit = 1e5,
-                                                         .max_limit = 1e5});
-        out.permits = routing::make_cold_permits({.self = {.vm = name, .incarnation = index + 1}});
-        out.probes = routing::make_probe_budget({});
-        out.retries = request::make_retry_budget({});
-        configure(out);
-        for (routing::server_index s = 0; s < plan_.servers; ++s)
-        {
-            for (std::uint32_t i = 0; i < out.table.options.warm_answers; ++i)
-            {
-                routing::on_sent(out.table, s, now_);
-                routing::on_answered(out.table, s,
-                                     {.latency = core::from_seconds(plan_.mean_work),
-                                      .report = load_of(backends_[s])},
-                                     now_);
-            }
-        }
-        return out;
-    }
-
-    void configure(daemon_model& daemon)
-    {
-        routing::apply_configuration(daemon.table, config_, now_);
-        routing::apply_configuration(daemon.weights, config_, now_);
-        routing::apply_configuration(daemon.permits, config_, now_);
-        routing::apply_configuration(daemon.probes, config_, now_);
-        if (plan_.admission)
-        {
-            routing::set_fair_share(daemon.queue, plan_.servers * plan_.slots, config_.max_vms);
-        }
-    }
+    std::uint32_t centre_of(std::uint32_t server) const { return bench::centre_of(plan, server); }
 
     void schedule_windows()
     {
         const auto set_slowdown = [this](double factor)
         {
-            advance(backends_[0], now_);
-            backends_[0].slowdown = factor;
+            advance(backends[0], loop.now);
+            backends[0].slowdown = factor;
             reschedule(0);
         };
-        at(plan_.slow.from,
-           [this, set_slowdown] { set_slowdown(plan_.slow.to > plan_.slow.from ? 0.1 : 1.0); });
-        at(plan_.slow.to, [set_slowdown] { set_slowdown(1.0); });
-        at(plan_.fail_fast.from,
-           [this] { backends_[1].fails_fast = plan_.fail_fast.to > plan_.fail_fast.from; });
-        at(plan_.fail_fast.to, [this] { backends_[1].fails_fast = false; });
-        if (plan_.centre_out.to > plan_.centre_out.from)
+        at(plan.slow.from,
+           [this, set_slowdown] { set_slowdown(plan.slow.to > plan.slow.from ? 0.1 : 1.0); });
+        at(plan.slow.to, [set_slowdown] { set_slowdown(1.0); });
+        at(plan.fail_fast.from,
+           [this] { backends[1].fails_fast = plan.fail_fast.to > plan.fail_fast.from; });
+        at(plan.fail_fast.to, [this] { backends[1].fails_fast = false; });
+        if (plan.centre_out.to > plan.centre_out.from)
         {
-            at(plan_.centre_out.from, [this] { publish(false); });
-            at(plan_.centre_out.to, [this] { publish(true); });
+            at(plan.centre_out.from, [this] { publish(false); });
+            at(plan.centre_out.to, [this] { publish(true); });
         }
     }
 
     /// The configuration reaches the daemons one after the other within two seconds.
     void publish(bool in_service)
     {
-        for (std::uint32_t i = 0; i < plan_.vms; ++i)
+        for (std::uint32_t i = 0; i < plan.vms; ++i)
         {
-            at(std::chrono::seconds(2) * i / plan_.vms,
+            at(std::chrono::seconds(2) * i / plan.vms,
                [this, i, in_service]
                {
-                   config_.data_centres[0].in_service = in_service;
-                   configure(daemons_[i]);
+                   published.data_centres[0].in_service = in_service;
+                   configure(daemons[i], plan, published, loop.now);
                });
         }
     }
 
     void change_noise(std::uint32_t index)
     {
-        backend& server = backends_[index];
-        advance(server, now_);
-        double draw = core::uniform(random_);
-        for (const noise_level& level : noise_levels)
-        {
-            server.noise = level.speed;
-            draw -= level.part;
-            if (draw < 0.0)
-            {
-                break;
-            }
-        }
+        backend& server = backends[index];
+        advance(server, loop.now);
+        server.noise = draw_noise(generator);
         reschedule(index);
-        const duration stay =
-            noise_min +
-            core::from_seconds(core::to_seconds(noise_max - noise_min) * core::uniform(random_));
+        const duration stay = draw_noise_length(generator);
         at(stay, [this, index] { change_noise(index); });
     }
 
     void reschedule(std::uint32_t index)
     {
-        backend& server = backends_[index];
+        backend& server = backends[index];
         const std::uint64_t version = ++server.version;
         const time_point when = next_completion(server);
         if (when != time_point::max())
         {
-            at(when - now_, [this, index, version] { complete(index, version); });
+            at(when - loop.now, [this, index, version] { complete(index, version); });
         }
     }
 
     void complete(std::uint32_t index, std::uint64_t version)
     {
-        backend& server = backends_[index];
+        backend& server = backends[index];
         if (server.version != version)
         {
             return;
         }
-        advance(server, now_);
+        advance(server, loop.now);
         const auto done =
             std::min_element(server.running.begin(), server.running.end(),
                              [](const task& a, const task& b) { return a.work < b.work; });
@@ -342,8 +136,8 @@
 
     void reply(std::uint32_t index, const task& finished, request::request_event how, bool error)
     {
-        const routing::load_report report = stated_load(backends_[index], now_);
-        const std::uint32_t vm = requests_[finished.request].vm;
+        const routing::load_report report = stated_load(backends[index], loop.now);
+        const std::uint32_t vm = requests[finished.request].vm;
         at(delay(vm, index),
            [this, finished, how, error, report] { answered(finished, how, error, report); });
     }
@@ -351,64 +145,53 @@
     duration delay(std::uint32_t vm, std::uint32_t server) const
     {
         constexpr duration inside = std::chrono::microseconds(100);
-        return daemons_[vm].data_centre == centre_of(server) ? inside : plan_.between_centres;
-    }
-
-    double offered() const
-    {
-        const double capacity = plan_.servers * plan_.slots * mean_speed() / plan_.mean_work;
-        return capacity * (contains(plan_.overload, now_) ? plan_.overload_load : plan_.load);
+        return daemons[vm].data_centre == centre_of(server) ? inside : plan.between_centres;
     }
 
     void arrive()
     {
-        if (now_.time_since_epoch() >= plan_.length)
+        if (loop.now.time_since_epoch() >= plan.length)
         {
             return;
         }
-        const double draw = core::uniform(random_);
-        const config::request_class priority =
-            draw < plan_.order_part                       ? config::request_class::order
-            : draw < plan_.order_part + plan_.lookup_part ? config::request_class::lookup
-                                                          : config::request_class::browse;
-        submit(priority, plan_.caller_retries);
-        at(core::from_seconds(-std::log(1.0 - core::uniform(random_)) / offered()),
+        submit(draw_class(plan, generator), plan.caller_retries);
+        at(core::from_seconds(-std::log(1.0 - core::uniform(generator)) / offered(plan, loop.now)),
            [this] { arrive(); });
     }
 
     void submit(config::request_class priority, std::uint32_t repeats_left)
     {
-        const std::uint64_t id = requests_.size();
+        const std::uint64_t id = requests.size();
         const bool idempotent = priority != config::request_class::order;
         sent_request entry;
         entry.priority = priority;
-        entry.vm = static_cast<std::uint32_t>(core::uniform_index(random_, plan_.vms));
+        entry.vm = static_cast<std::uint32_t>(core::uniform_index(generator, plan.vms));
         entry.repeats_left = repeats_left;
-        entry.arrived = now_;
-        entry.life = request::make_request_life(idempotent, now_ + plan_.timeout);
-        requests_.push_back(entry);
-        daemon_model& daemon = daemons_[entry.vm];
+        entry.arrived = loop.now;
+        entry.life = request::make_request_life(idempotent, loop.now + plan.timeout);
+        requests.push_back(entry);
+        daemon_model& daemon = daemons[entry.vm];
         request::on_request(daemon.retries);
         step(id, request::request_event::admit);
         step(id, request::request_event::enqueue);
-        at(plan_.timeout, [this, id] { expire(id); });
+        at(plan.timeout, [this, id] { expire(id); });
         wait(id);
         pump(entry.vm);
     }
 
     request::decision step(std::uint64_t id, request::request_event event)
     {
-        sent_request& entry = requests_[id];
-        return request::apply(entry.life, event, daemons_[entry.vm].retries, now_);
+        sent_request& entry = requests[id];
+        return request::apply(entry.life, event, daemons[entry.vm].retries, loop.now);
     }
 
     void wait(std::uint64_t id)
     {
-        sent_request& entry = requests_[id];
-        routing::admission_queue& queue = daemons_[entry.vm].queue;
+        sent_request& entry = requests[id];
+        routing::admission_queue& queue = daemons[entry.vm].queue;
         for (const routing::queued_request& out : routing::enqueue(
                  queue, {.id = id, .priority = entry.priority, .deadline = entry.life.deadline},
-                 now_))
+                 loop.now))
         {
             finish(out.id, step(out.id, request::request_event::refuse));
         }
@@ -416,45 +199,45 @@
 
     std::optional<routing::server_index> choose(sent_request& entry)
     {
-        daemon_model& daemon = daemons_[entry.vm];
+        daemon_model& daemon = daemons[entry.vm];
         // Trials of a server that is not known to serve go to requests that may be repeated.
-        for (routing::server_index s = 0; entry.life.idempotent && s < plan_.servers; ++s)
+        for (routing::server_index s = 0; entry.life.idempotent && s < plan.servers; ++s)
         {
             const routing::server& server = daemon.table.servers[s];
             if (!routing::accepts_work(server) ||
-                !routing::needs_permit(daemon.table, server, now_) ||
-                routing::weight_of(daemon.weights, server.data_centre, now_) <= 0.0)
+                !routing::needs_permit(daemon.table, server, loop.now) ||
+                routing::weight_of(daemon.weights, server.data_centre, loop.now) <= 0.0)
             {
                 continue;
             }
-            if (const auto use = routing::use_permit(daemon.permits, server.name, now_))
+            if (const auto use = routing::use_permit(daemon.permits, server.name, loop.now))
             {
                 entry.permit = use->permit_id;
                 return s;
             }
         }
-        if (plan_.baseline)
+        if (plan.baseline)
         {
-            return routing::select_baseline(*plan_.baseline, daemon.baseline, daemon.table,
-                                            daemon.weights, 0, now_, random_);
+            return routing::select_baseline(*plan.baseline, daemon.baseline, daemon.table,
+                                            daemon.weights, 0, loop.now, generator);
         }
-        return routing::select(daemon.table, daemon.weights, plan_.selection, 0, entry.avoid, now_,
-                               random_);
+        return routing::select(daemon.table, daemon.weights, plan.selection, 0, entry.avoid,
+                               loop.now, generator);
     }
 
     void pump(std::uint32_t vm)
     {
-        daemon_model& daemon = daemons_[vm];
-        for (const routing::queued_request& out : routing::take_expired(daemon.queue, now_))
+        daemon_model& daemon = daemons[vm];
+        for (const routing::queued_request& out : routing::take_expired(daemon.queue, loop.now))
         {
             finish(out.id, step(out.id, request::request_event::refuse));
         }
-        while (const auto next = routing::dequeue(daemon.queue, now_))
+        while (const auto next = routing::dequeue(daemon.queue, loop.now))
         {
-            const auto server = choose(requests_[next->id]);
+            const auto server = choose(requests[next->id]);
             if (!server)
             {
-                routing::on_finished(daemon.queue, routing::finish::ignored, {}, now_);
+                routing::on_finished(daemon.queue, routing::finish::ignored, {}, loop.now);
                 wait(next->id);
                 return;
             }
@@ -464,14 +247,14 @@
 
     void dispatch(std::uint64_t id, routing::server_index index)
     {
-        sent_request& entry = requests_[id];
-        daemon_model& daemon = daemons_[entry.vm];
+        sent_request& entry = requests[id];
+        daemon_model& daemon = daemons[entry.vm];
         step(id, request::request_event::dispatch);
         step(id, request::request_event::bytes_left);
-        routing::on_sent(daemon.table, index, now_);
+        routing::on_sent(daemon.table, index, loop.now);
         entry.server = index;
         entry.in_flight = true;
-        entry.sent = now_;
+        entry.sent = loop.now;
         ++entry.attempt;
         duration way = delay(entry.vm, index);
         if (daemon.table.servers[index].in_flight > daemon.table.servers[index].connections)
@@ -482,18 +265,18 @@
         }
         if (centre_of(index) == 0)
         {
-            result_.work_at_centre_0.push_back(now_);
+            result.work_at_centre_0.push_back(loop.now);
         }
         const task work{
-            .request = id, .attempt = entry.attempt, .work = draw_work(plan_.mean_work, random_)};
+            .request = id, .attempt = entry.attempt, .work = draw_work(plan.mean_work, generator)};
         at(way, [this, index, work] { receive(index, work); });
     }
 
     void receive(std::uint32_t index, const task& work)
     {
-        backend& server = backends_[index];
-        advance(server, now_);
-        if (requests_[work.request].attempt != work.attempt || !requests_[work.request].in_flight)
+        backend& server = backends[index];
+        advance(server, loop.now);
+        if (requests[work.request].attempt != work.attempt || !requests[work.request].in_flight)
         {
             return;
         }
@@ -516,23 +299,23 @@
     void answered(const task& finished, request::request_event how, bool error,
                   const routing::load_report& report)
     {
-        sent_request& entry = requests_[finished.request];
+        sent_request& entry = requests[finished.request];
         if (!entry.in_flight || entry.attempt != finished.attempt)
         {
             return;
         }
-        daemon_model& daemon = daemons_[entry.vm];
-        const duration latency = now_ - entry.sent;
+        daemon_model& daemon = daemons[entry.vm];
+        const duration latency = loop.now - entry.sent;
         const bool not_run = how == request::request_event::server_did_not_run;
         routing::on_answered(
             daemon.table, entry.server,
-            {.latency = latency, .error = error, .not_run = not_run, .report = report}, now_);
+            {.latency = latency, .error = error, .not_run = not_run, .report = report}, loop.now);
         leave_server(entry, routing::permit_end::finished);
         routing::on_finished(daemon.queue,
                              not_run ? routing::finish::refused
                              : error ? routing::finish::ignored
                                      : routing::finish::answered,
-                             latency, now_);
+                             latency, loop.now);
         // An error answer of an idempotent request is repeated like a lost one.
         const bool repeat = error && entry.life.idempotent;
         entry.avoid.push_back(entry.server);
@@ -554,28 +337,28 @@
         entry.in_flight = false;
         if (entry.permit != 0)
         {
-            send(entry.vm, routing::return_permit(daemons_[entry.vm].permits, entry.permit, how,
-                                                  false, now_));
+            send(entry.vm, routing::return_permit(daemons[entry.vm].permits, entry.permit, how,
+                                                  false, loop.now));
             entry.permit = 0;
         }
     }
 
     void expire(std::uint64_t id)
     {
-        sent_request& entry = requests_[id];
+        sent_request& entry = requests[id];
         const request::decision end = step(id, request::request_event::deadline);
         if (!end.accepted)
         {
             return;
         }
-        daemon_model& daemon = daemons_[entry.vm];
+        daemon_model& daemon = daemons[entry.vm];
         if (entry.in_flight)
         {
-            const duration latency = now_ - entry.sent;
+            const duration latency = loop.now - entry.sent;
             routing::on_failed(daemon.table, entry.server, routing::failure::timeout, latency,
-                               now_);
+                               loop.now);
             routing::on_connection_closed(daemon.table, entry.server);
-            routing::on_finished(daemon.queue, routing::finish::failed, latency, now_);
+            routing::on_finished(daemon.queue, routing::finish::failed, latency, loop.now);
             leave_server(entry, routing::permit_end::unknown);
             at(delay(entry.vm, entry.server),
                [this, id, index = entry.server] { cancel(index, id); });
@@ -592,8 +375,8 @@
 
     void cancel(std::uint32_t index, std::uint64_t id)
     {
-        backend& server = backends_[index];
-        advance(server, now_);
+        backend& server = backends[index];
+        advance(server, loop.now);
         const auto same = [id](const task& entry)
         {
             return entry.request == id;
@@ -606,13 +389,13 @@
 
     void finish(std::uint64_t id, const request::decision& end, bool error = false)
     {
-        const sent_request& entry = requests_[id];
+        const sent_request& entry = requests[id];
         const bool good = end.result == request::outcome::answered && !error;
         // A request without a good answer counts as long as its timeout.
-        result_.finished.push_back({.priority = entry.priority,
-                                    .arrived = entry.arrived,
-                                    .latency = good ? now_ - entry.arrived : plan_.timeout,
-                                    .good = good});
+        result.finished.push_back({.priority = entry.priority,
+                                   .arrived = entry.arrived,
+                                   .latency = good ? loop.now - entry.arrived : plan.timeout,
+                                   .good = good});
         const bool may_repeat = entry.life.idempotent || end.result == request::outcome::not_run;
         if (!good && may_repeat && entry.repeats_left > 0)
         {
@@ -625,21 +408,22 @@
 
     void tick(std::uint32_t vm)
     {
-        daemon_model& daemon = daemons_[vm];
-        routing::tick(daemon.table, now_);
-        send(vm, routing::tick(daemon.permits, now_));
+        daemon_model& daemon = daemons[vm];
+        routing::tick(daemon.table, loop.now);
+        send(vm, routing::tick(daemon.permits, loop.now));
         if (vm == 0)
         {
             constexpr duration lease = std::chrono::seconds(10);
-            for (std::uint32_t group = 0; group < config_.pool_groups; ++group)
+            for (std::uint32_t group = 0; group < published.pool_groups; ++group)
             {
-                routing::set_held_until(daemon.permits, group, now_ + lease, now_);
+                routing::set_held_until(daemon.permits, group, loop.now + lease, loop.now);
             }
         }
-        if (const auto cold = routing::select_cold(daemon.table, daemon.weights, 0, now_, random_))
+        if (const auto cold =
+                routing::select_cold(daemon.table, daemon.weights, 0, loop.now, generator))
         {
             send(vm, routing::request_permit(daemon.permits, daemon.table.servers[*cold].name,
-                                             "vm0", now_ + plan_.timeout, now_));
+                                             "vm0", loop.now + plan.timeout, loop.now));
         }
         probe(vm);
         pump(vm);
@@ -648,31 +432,31 @@
 
     void probe(std::uint32_t vm)
     {
-        daemon_model& daemon = daemons_[vm];
-        for (routing::server_index s = 0; s < plan_.servers; ++s)
+        daemon_model& daemon = daemons[vm];
+        for (routing::server_index s = 0; s < plan.servers; ++s)
         {
             const routing::server& server = daemon.table.servers[s];
-            if (!routing::wants_probe(daemon.table, server, now_) ||
-                !routing::try_start_probe(daemon.probes, server.name, now_))
+            if (!routing::wants_probe(daemon.table, server, loop.now) ||
+                !routing::try_start_probe(daemon.probes, server.name, loop.now))
             {
                 continue;
             }
             routing::on_probe_sent(daemon.table, s);
             constexpr double cost = 0.006;
-            const duration took = core::from_seconds(cost / speed(backends_[s]));
+            const duration took = core::from_seconds(cost / speed(backends[s]));
             const duration limit = daemon.probes.options.probe_timeout;
             at(std::min(took, limit),
                [this, vm, s, took, limit]
                {
-                   daemon_model& asker = daemons_[vm];
+                   daemon_model& asker = daemons[vm];
                    routing::on_probe_finished(asker.probes, asker.table.servers[s].name,
-                                              std::min(took, limit), now_);
+                                              std::min(took, limit), loop.now);
                    std::optional<routing::load_report> report;
                    if (took <= limit)
                    {
-                       report = stated_load(backends_[s], now_);
+                       report = stated_load(backends[s], loop.now);
                    }
-                   routing::on_probe_result(asker.table, s, report, now_);
+                   routing::on_probe_result(asker.table, s, report, loop.now);
                });
         }
     }
@@ -681,42 +465,38 @@
     {
         for (const fleet::outgoing& message : messages)
         {
-            at(plan_.between_centres, [this, from, message] { deliver(from, message); });
+            at(plan.between_centres, [this, from, message] { deliver(from, message); });
         }
     }
 
     void deliver(std::uint32_t from, const fleet::outgoing& message)
     {
         const auto to = static_cast<std::uint32_t>(std::stoul(message.to_vm.substr(2)));
-        routing::cold_permits& permits = daemons_[to].permits;
-        const core::process_id sender = daemons_[from].permits.options.self;
+        routing::cold_permits& permits = daemons[to].permits;
+        const core::process_id sender = daemons[from].permits.options.self;
         if (const auto* ask = std::get_if<fleet::permit_request>(&message.body))
         {
-            send(to, routing::handle(permits, sender, *ask, now_));
+            send(to, routing::handle(permits, sender, *ask, loop.now));
         }
         else if (const auto* reply = std::get_if<fleet::permit_reply>(&message.body))
         {
-            send(to, routing::handle(permits, sender, *reply, now_));
+            send(to, routing::handle(permits, sender, *reply, loop.now));
             pump(to);
         }
         else if (const auto* back = std::get_if<fleet::permit_return>(&message.body))
         {
-            send(to, routing::handle(permits, sender, *back, now_));
+            send(to, routing::handle(permits, sender, *back, loop.now));
         }
     }
 
-    scenario plan_;
-    core::random_generator random_;
-    config::configuration config_;
-    std::vector<backend> backends_;
-    std::vector<daemon_model> daemons_;
-    std::vector<sent_request> requests_;
-    std::priority_queue<event, std::vector<event>, std::greater<>> events_;
-    std::vector<std::function<void()>> actions_;
-    std::vector<std::size_t> free_actions_;
-    std::uint64_t order_ = 0;
-    time_point now_{};
-    fleet_result result_;
+    scenario plan;
+    core::random_generator generator;
+    config::configuration published;
+    std::vector<backend> backends;
+    std::vector<daemon_model> daemons;
+    std::vector<sent_request> requests;
+    event_loop loop;
+    fleet_result result;
 };
 
 } // namespace zinniaferry::bench
