--- a/bench/support/fleet_model.hpp
+++ b/bench/support/fleet_model.hpp
@@ -145,7 +145,7 @@
     duration delay(std::uint32_t vm, std::uint32_t server) const
     {
         constexpr duration inside = std::chrono::microseconds(100);
-        return daemons[vm].data_centre == centre_of(server) ? inside : plan.between_centres;
+        return daemons[vm].data_centre == centre_of(plan, server) ? inside : plan.between_centres;
     }
 
     void arrive()
@@ -263,7 +263,7 @@
             way += connect;
             routing::on_connection_opened(daemon.table, index);
         }
-        if (centre_of(index) == 0)
+        if (centre_of(plan, index) == 0)
         {
             result.work_at_centre_0.push_back(loop.now);
         }
