--- a/bench/support/fleet_model.hpp
+++ b/bench/support/fleet_model.hpp
@@ -58,8 +58,6 @@
 private:
     void at(duration delay, std::function<void()> act) { schedule(loop, delay, std::move(act)); }
 
-    std::uint32_t centre_of(std::uint32_t server) const { return bench::centre_of(plan, server); }
-
     void schedule_windows()
     {
         const auto set_slowdown = [this](double factor)
