--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -1,5 +1,7 @@
 #include "net/upstream_pool.hpp"
 
+#include "request/outcome.hpp"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -98,15 +100,20 @@
     {
         return nullptr;
     }
-    const core::duration limit =
-        target.idempotent ? options_.max_idle_time : options_.max_idle_time_non_idempotent;
     const core::time_point now = core::steady_now();
     auto& connections = found->second;
     while (!connections.empty())
     {
+        // The last one was used most recently. Older ones stay open for requests that may be
+        // repeated, and as evidence that the server has not restarted.
+        if (!request::may_use_connection(target.idempotent, false,
+                                         now - connections.back()->idle_since))
+        {
+            return nullptr;
+        }
         std::shared_ptr<upstream_connection> connection = std::move(connections.back());
         connections.pop_back();
-        if (now - connection->idle_since <= limit && looks_usable(connection->socket))
+        if (looks_usable(connection->socket))
         {
             error_code ignored;
             connection->socket.cancel(ignored);
@@ -263,8 +270,13 @@
 {
     for (auto& [address, connections] : idle_)
     {
-        std::erase_if(connections, [&](const auto& connection)
-                      { return now - connection->idle_since > options_.max_idle_time; });
+        // Reuse takes the newest, so the oldest come first. One stays open: its end tells that the
+        // server restarted, and without any the server would count as cold.
+        while (connections.size() > 1 &&
+               now - connections.front()->idle_since > options_.max_idle_time)
+        {
+            connections.erase(connections.begin());
+        }
     }
     std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
 }
--- a/src/net/upstream_pool.hpp
+++ b/src/net/upstream_pool.hpp
@@ -59,8 +59,6 @@
 {
     std::size_t max_idle_per_server = 12;
     core::duration max_idle_time = std::chrono::seconds(20);
-    /// A non-idempotent request must not meet a connection that the server is just closing.
-    core::duration max_idle_time_non_idempotent = std::chrono::seconds(1);
     core::duration connect_timeout = std::chrono::milliseconds(500);
 };
 
@@ -86,7 +84,8 @@
     /// Ends the attempt of `handle` because its caller has gone. Thread safety: as attempt.
     static void cancel(attempt_handle& handle);
 
-    /// Closes idle connections that were unused for too long. Thread safety: as attempt.
+    /// Closes idle connections that were unused for too long, but for one per server. Thread
+    /// safety: as attempt.
     void close_idle(core::time_point now);
 
     /// Number of idle connections kept now. Thread safety: as attempt.
--- a/src/node/decider.cpp
+++ b/src/node/decider.cpp
@@ -41,10 +41,12 @@
     for (const config::service& service : config.services)
     {
         const routing::service_index index = routing::find_service(state.servers, service.name);
-        while (index != routing::no_service && state.queues.size() <= index)
+        while (state.queues.size() <= index)
         {
             state.queues.push_back(routing::make_admission_queue({}));
         }
+        const auto slots = service.slots * static_cast<std::uint32_t>(service.servers.size());
+        routing::set_fair_share(state.queues[index], slots, config.max_vms);
     }
 }
 
