Remove the unused setting threads; bound lease_term_ms by the voters' term

Cause: the daemon serves all requests on one thread, so threads had no effect, and a lease term above 10 s could not be used because voters acknowledge for 10 s.

--- a/src/config/reader.hpp
+++ b/src/config/reader.hpp
@@ -17,7 +17,8 @@
 inline constexpr std::uint32_t max_max_vms = 4096;
 inline constexpr std::uint32_t max_pool_groups = 256;
 inline constexpr core::duration min_lease_term = std::chrono::milliseconds(100);
-inline constexpr core::duration max_lease_term = std::chrono::minutes(1);
+/// Voters acknowledge for 10 s, so a holder could not use a longer term.
+inline constexpr core::duration max_lease_term = std::chrono::seconds(10);
 inline constexpr core::duration min_idempotency_window = std::chrono::seconds(1);
 inline constexpr core::duration max_idempotency_window = std::chrono::hours(24);
 inline constexpr double min_weight = 0.001;
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -13,7 +13,6 @@
 namespace zinniaferry::config
 {
 
-inline constexpr std::uint32_t max_threads = 64;
 inline constexpr core::duration max_stop_grace = std::chrono::minutes(10);
 /// Shorter secrets can be guessed; in characters.
 inline constexpr std::size_t min_secret_length = 16;
@@ -47,7 +46,6 @@
     log_level level = log_level::info;
     log_format format = log_format::text;
     core::duration stop_grace = std::chrono::seconds(5);
-    std::uint32_t threads = 1;
 
     bool operator==(const settings&) const = default;
 };
--- a/tools/run_fleet.sh
+++ b/tools/run_fleet.sh
@@ -81,7 +81,7 @@
 {"vm":"vm-$((i + 1))", "data_centre":"$centre", "region":"$region",
  "listen":"$ip:$((base + 10 + i))", "admin_listen":"$ip:$((base + 30 + i))", "peer_listen":"$ip:$((base + 50 + i))",
  "platform":"$ip:$base", "peer_secret":"loopback-peer-secret", "admin_credential":"loopback-admin-credential",
- "log_level":"info", "log_format":"text", "stop_grace_ms":500, "threads":1}
+ "log_level":"info", "log_format":"text", "stop_grace_ms":500}
 SETTINGS
 done
 printf '\n]}\n' >>"$folder/vms.json"
