Do not take a service answer that waited during a pause as contact

Cause: a process that wakes reads the answer to a watch from before the pause and counts it as contact at that moment, so it is not isolated and serves keys that were withdrawn meanwhile. Change: like peer messages, such an answer proves nothing until the settle time has passed.

--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -236,7 +236,11 @@
 void note_service_contact(membership& state, core::time_point now)
 {
     note_time(state, now);
-    raise(state.service_contact, now);
+    // An answer that waited in a socket during a pause was given before it.
+    if (now >= state.settled_at)
+    {
+        raise(state.service_contact, now);
+    }
 }
 
 void note_heard(membership& state, const core::process_id& from, core::time_point now)
--- a/test/correctness/fleet/membership_test.cpp
+++ b/test/correctness/fleet/membership_test.cpp
@@ -97,6 +97,18 @@
     EXPECT_FALSE(is_isolated(state, start + 11300ms));
 }
 
+// Guards R4: an answer of the service that waited during a pause lets keyed requests through with
+// keys that were withdrawn meanwhile.
+TEST(membership, service_answer_read_after_a_pause_proves_nothing)
+{
+    membership state = make(3);
+    pass(state, start, start + 1s);
+    note_service_contact(state, start + 11s);
+    EXPECT_TRUE(is_isolated(state, start + 11s));
+    note_service_contact(state, start + 11300ms);
+    EXPECT_FALSE(is_isolated(state, start + 11300ms));
+}
+
 // Guards against a new version that waits for the next interval, and extra heartbeats for it.
 TEST(membership, newer_version_is_told_at_once)
 {
