--- a/src/history/observer.cpp
+++ b/src/history/observer.cpp
@@ -1,5 +1,7 @@
 #include "history/observer.hpp"
 
+#include "history/knowledge.hpp"
+
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
@@ -17,7 +19,6 @@
 constexpr core::duration evidence_limit = 10s;
 constexpr core::duration longest_loan = 4080ms; ///< Loan term and the margin of the lender.
 constexpr double probe_fraction = 0.01;
-constexpr double rounding = 1e-6;
 constexpr std::size_t max_trace = 20;
 
 void check(observer& state, const simulation& sim, std::size_t number, bool good,
@@ -47,13 +48,6 @@
     sim.digest ^= static_cast<std::uint64_t>(sim.queue.now.time_since_epoch().count());
 }
 
-void advance(account_bucket& bucket, core::time_point now)
-{
-    bucket.tokens =
-        std::min(bucket.burst, bucket.tokens + bucket.rate * core::to_seconds(now - bucket.at));
-    bucket.at = now;
-}
-
 // The larger values count while a version that has them is, or was a loan ago, in force.
 void set_limits(observer& state, const simulation& sim)
 {
@@ -75,94 +69,11 @@
                 burst = std::max(burst, account->burst);
             }
         }
-        if (rate == bucket.rate && burst == bucket.burst)
-        {
-            continue;
-        }
-        advance(bucket, sim.queue.now);
-        bucket.tokens += std::max(0.0, burst - bucket.burst);
-        bucket.rate = rate;
-        bucket.burst = burst;
-    }
-}
-
-std::uint64_t version_of(const process& at)
-{
-    return at.node ? node::config_version(*at.node) : 0;
-}
-
-bool is_linked(const simulation& sim, std::size_t a, std::size_t b)
-{
-    const auto awake = [&](const process& at)
-    {
-        return at.running && at.paused_until <= sim.queue.now;
-    };
-    return awake(sim.processes[a]) && awake(sim.processes[b]) &&
-           (a == b || (sim.cut[a][b] == 0 && sim.cut[b][a] == 0));
-}
-
-// The highest version that a majority of those linked with the process have in force.
-std::uint64_t majority_version(const simulation& sim, std::size_t slot)
-{
-    std::vector<std::uint64_t> versions;
-    for (std::size_t other = 0; other < sim.processes.size(); ++other)
-    {
-        if (other != slot && is_linked(sim, slot, other))
-        {
-            versions.push_back(version_of(sim.processes[other]));
-        }
-    }
-    const std::size_t majority = fleet::majority_of(sim.versions.back().configuration.max_vms);
-    if (versions.size() < majority)
-    {
-        return 0;
-    }
-    std::sort(versions.rbegin(), versions.rend());
-    return versions[majority - 1];
-}
-
-bool reaches_service(const simulation& sim, std::size_t slot)
-{
-    return sim.service_cut[slot] == 0 && sim.mode != service_mode::down;
-}
-
-void update_knowledge(const simulation& sim, std::size_t slot, knowledge& known)
-{
-    std::uint64_t best = reaches_service(sim, slot) ? served_version(sim) : 0;
-    std::uint64_t around = 0;
-    std::size_t linked = 0;
-    for (std::size_t other = 0; other < sim.processes.size(); ++other)
-    {
-        if (is_linked(sim, slot, other))
+        if (rate != bucket.rate || burst != bucket.burst)
         {
-            ++linked;
-            around = std::max({around, version_of(sim.processes[other]),
-                               reaches_service(sim, other) ? served_version(sim) : 0});
+            change_limits(bucket, rate, burst, sim.queue.now);
         }
     }
-    known.in_majority = linked >= fleet::majority_of(sim.versions.back().configuration.max_vms);
-    best = std::max(best, known.in_majority ? around : 0);
-    const bool awake = linked > 0;
-    known.since.resize(sim.versions.size(), core::time_point::max());
-    for (std::size_t i = 0; i < known.since.size(); ++i)
-    {
-        known.since[i] =
-            awake && best > i ? std::min(known.since[i], sim.queue.now) : core::time_point::max();
-    }
-    if (known.in_majority && best < sim.versions.size())
-    {
-        known.cut_from_service = sim.queue.now;
-    }
-    known.reachable_version = best;
-}
-
-// Whether the process has been able to learn the version for longer than `limit`.
-bool could_know(const observer& state, const simulation& sim, std::size_t slot,
-                std::uint64_t version, core::duration limit)
-{
-    const std::vector<core::time_point>& since = state.known[slot].since;
-    return since.size() >= version && since[version - 1] != core::time_point::max() &&
-           since[version - 1] + limit < sim.queue.now;
 }
 
 // Work at a data centre or server that a version has taken out.
@@ -177,7 +88,7 @@
         return;
     }
     const std::size_t number = is_centre ? 3 : 9;
-    if (!could_know(state, sim, order.slot, gone.version, withdrawal_limit))
+    if (!could_know(sim, state.known[order.slot], gone.version, withdrawal_limit))
     {
         ++sim.counters[fmt::format("R{}.cut_off", number)];
         return;
@@ -255,9 +166,11 @@
     for (const auto& [key, owner] : state.key_owner)
     {
         const core::digest digest = core::sha256(key);
+        // Clang 14 captures no structured bindings.
+        const std::string& account_name = owner;
         const auto has = [&](const config::configuration& config)
         {
-            const config::account* account = config::find_account(config, owner);
+            const config::account* account = config::find_account(config, account_name);
             return account != nullptr && std::find(account->keys.begin(), account->keys.end(),
                                                    digest) != account->keys.end();
         };
@@ -268,17 +181,6 @@
     }
 }
 
-// Counts a request that the limit decided on at the bucket that one process with all requests
-// would have.
-void count_ideal(account_bucket& bucket)
-{
-    if (bucket.ideal_tokens >= 1.0)
-    {
-        bucket.ideal_tokens -= 1.0;
-        ++bucket.ideal;
-    }
-}
-
 } // namespace
 
 void begin(observer& state, const simulation& sim)
@@ -350,18 +252,13 @@
             continue;
         }
         account_bucket& bucket = state.buckets[name];
-        advance(bucket, sim.queue.now);
         for (; seen < counters.admitted; ++seen)
         {
-            bucket.tokens -= 1.0;
-            count_ideal(bucket);
-            ++bucket.admitted;
-            check(state, sim, 5, bucket.tokens >= -rounding,
+            const double excess = take_admission(bucket, sim.queue.now);
+            check(state, sim, 5, excess <= rounding,
                   fmt::format("account {} is {:.6f} requests over rate {} and burst {}, at {}",
-                              name, -bucket.tokens, bucket.rate, bucket.burst, at.vm));
+                              name, excess, bucket.rate, bucket.burst, at.vm));
         }
-        // One excess is one violation, not one for each later admission as well.
-        bucket.tokens = std::max(bucket.tokens, 0.0);
     }
 }
 
@@ -520,7 +417,6 @@
     {
         request.answered = true;
         ++sim.counters["answered"];
-        state.answers_of_key[request.account + "/" + request.idempotency_key] += 1;
         return;
     }
     ++sim.counters[std::string("refused.") + node::to_string(refusal->error)];
@@ -534,10 +430,7 @@
     }
     if (refusal->error == node::request_error::over_limit && bucket != nullptr)
     {
-        advance(*bucket, sim.queue.now);
-        ++bucket->over_limit;
-        count_ideal(*bucket);
-        bucket->wrongful += bucket->tokens >= 1.0 ? 1 : 0;
+        take_refusal(*bucket, sim.queue.now);
     }
 }
 
@@ -561,7 +454,7 @@
         for (std::uint64_t missing = std::max(version, reported) + 1;
              missing <= sim.versions.size(); ++missing)
         {
-            const bool good = !could_know(state, sim, slot, missing, version_limit);
+            const bool good = !could_know(sim, state.known[slot], missing, version_limit);
             reported = good ? reported : missing;
             check(state, sim, 11, good,
                   fmt::format("{} has version {} and could have known {} for 12 s", at.vm, version,
--- a/src/history/observer.hpp
+++ b/src/history/observer.hpp
@@ -2,7 +2,8 @@
 /// and what the servers run, and keeps its own accounts of both.
 #pragma once
 
-#include "history/simulation.hpp"
+#include "history/account_bucket.hpp"
+#include "history/knowledge.hpp"
 
 namespace zinniaferry::history
 {
@@ -31,32 +32,6 @@
     std::uint64_t version = 0;
 };
 
-/// The least capacity that one account was entitled to; drained by admissions only.
-struct account_bucket
-{
-    double rate = 0.0;
-    double burst = 0.0;
-    double tokens = 0.0;
-    core::time_point at{};
-    std::uint64_t requests = 0;
-    std::uint64_t admitted = 0;
-    std::uint64_t over_limit = 0;
-    std::uint64_t wrongful = 0; ///< Refused over the limit with a whole token here.
-    double ideal_tokens = 0.0;  ///< Of a bucket that sees every request at its end.
-    std::uint64_t ideal = 0;    ///< Admissions of that bucket, of those admitted or over the limit.
-};
-
-/// What a process could have learned.
-struct knowledge
-{
-    std::uint64_t reachable_version = 0; ///< The highest from the service or the majority around.
-    std::uint64_t reported = 0; ///< Highest version whose absence was found to be a violation.
-    bool in_majority = false;
-    std::vector<core::time_point> since; ///< By version less 1; max() when it cannot be learned.
-    core::time_point
-        cut_from_service{}; ///< Last time in a majority that could not learn the newest.
-};
-
 struct observer
 {
     std::array<guarantee, guarantee_count> guarantees;
@@ -65,10 +40,9 @@
     std::vector<withdrawal> withdrawals;
     std::map<std::string, std::string> key_owner;           ///< Every key that was ever valid.
     std::map<std::string, std::uint32_t> executions_of_key; ///< By account and idempotency key.
-    std::map<std::string, std::uint32_t> answers_of_key;
-    std::vector<knowledge> known;               ///< By slot.
-    std::vector<std::uint64_t> version_of_slot; ///< Last seen in force.
-    std::vector<std::string> trace;             ///< Violations in order, at most a few.
+    std::vector<knowledge> known;                           ///< By slot.
+    std::vector<std::uint64_t> version_of_slot;             ///< Last seen in force.
+    std::vector<std::string> trace;                         ///< Violations in order, at most a few.
 };
 
 /// Takes the accounts and keys of the first version.
--- a/src/history/simulation.cpp
+++ b/src/history/simulation.cpp
@@ -429,7 +429,7 @@
     event();
 }
 
-void carry_out(simulation& sim, std::size_t slot, node::action_list actions)
+void carry_out(simulation& sim, std::size_t slot, const node::action_list& actions)
 {
     note_admissions(*sim.watcher, sim, slot);
     for (const node::action& action : actions)
--- a/src/history/simulation.hpp
+++ b/src/history/simulation.hpp
@@ -198,7 +198,7 @@
                 std::function<void()> event);
 
 /// Carries out what a decider returned.
-void carry_out(simulation& sim, std::size_t slot, node::action_list actions);
+void carry_out(simulation& sim, std::size_t slot, const node::action_list& actions);
 
 /// Sends the request of a dispatch to its server (in `requests.cpp`).
 void start_attempt(simulation& sim, std::size_t slot, const node::dispatch& order);
--- a/test/error/history/trace_error_test.cpp
+++ b/test/error/history/trace_error_test.cpp
@@ -51,7 +51,7 @@
         wrong_trace{"deployment kandy\n", "line 1", "the end of the file",
                     "at least one line with expect"},
         wrong_trace{"deployment kandy\nseed -1\n", "line 2", "-1",
-                    "a whole number from 0 to 9e+15"},
+                    "a whole number from 0 to 9000000000000000"},
         wrong_trace{"deployment kandy\nvms 21\n", "line 2", "21", "a whole number from 1 to 20"},
         wrong_trace{"deployment kandy\nlength\n", "line 2", "length", "a name and one value"},
         wrong_trace{"deployment kandy\nstrategy best\n", "line 2", "best",
