--- a/bench/config.cpp
+++ b/bench/config.cpp
@@ -73,12 +73,20 @@
     const std::string delta = config::make_delta(text, changed).value();
 
     const double parse = median_ms([&] { boost::json::parse(text); });
+    const auto print_line = [](const char* name, double value, const char* unit, double baseline)
+    {
+        std::printf("{\"name\":\"config/%s\",\"value\":%.4g,\"unit\":\"%s\",\"bound\":null,"
+                    "\"baseline\":%.4g,\"pass\":null}\n",
+                    name, value, unit, baseline);
+    };
+    // The baseline of a time is that of parsing alone, which is 1 by definition.
     const auto report = [&](const char* name, double time)
     {
-        std::printf("%-28s %8.2f ms %6.2f x parse\n", name, time, time / parse);
+        print_line(name, time / parse, "ratio", 1.0);
     };
-    std::printf("text %zu bytes, delta of one key %zu bytes\n", text.size(), delta.size());
-    report("boost::json::parse", parse);
+    print_line("boost::json::parse", parse, "ms", parse);
+    print_line("delta_of_one_key", static_cast<double>(delta.size()), "bytes",
+               static_cast<double>(text.size()));
     report("read_configuration",
            median_ms([&] { (void)config::read_configuration(text, "bench").value(); }));
     report("print", median_ms([&] { (void)config::print(large); }));
--- a/src/stand_in/http_server.cpp
+++ b/src/stand_in/http_server.cpp
@@ -115,6 +115,10 @@
         message.prepare_payload();
     }
     auto [error, written] = co_await http::async_write(socket, message, tuple_awaitable);
+    if (reply.sent_bytes != nullptr)
+    {
+        *reply.sent_bytes += written;
+    }
     co_return !error && keep_alive;
 }
 
@@ -139,6 +143,7 @@
         }
         const bool keep_alive = parser.get().keep_alive();
         http_request request = to_plain(parser.release());
+        request.wire_bytes = read;
         auto outcome = co_await ((*handler)(std::move(request)) || wait_for_close(socket));
         auto* reply = std::get_if<http_reply>(&outcome);
         if (reply == nullptr || reply->reset)
--- a/src/stand_in/http_server.hpp
+++ b/src/stand_in/http_server.hpp
@@ -38,6 +38,7 @@
     std::map<std::string, std::string, std::less<>> query;
     std::map<std::string, std::string, std::less<>> headers; ///< Names in lower case.
     std::string body;
+    std::size_t wire_bytes = 0; ///< Head and body as received.
 };
 
 struct http_reply
@@ -46,6 +47,8 @@
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
     bool reset = false; ///< Reset the connection instead of answering.
+    /// The bytes sent are added here, if set. It outlives the server.
+    std::uint64_t* sent_bytes = nullptr;
 };
 
 /// Answers one request. It is cancelled when the connection closes before the answer.
--- a/src/stand_in/platform.cpp
+++ b/src/stand_in/platform.cpp
@@ -85,6 +85,7 @@
 http_reply value_reply(platform& state, const published& value, std::optional<double> after)
 {
     http_reply reply = json_reply(200, value.text);
+    reply.sent_bytes = &state.bytes_out;
     if (after && *after == static_cast<double>(value.version))
     {
         ++state.not_modified;
@@ -99,6 +100,7 @@
 {
     using clock = std::chrono::steady_clock;
     ++(is_vms ? state.vm_calls : state.configuration_calls);
+    state.bytes_in += request.wire_bytes;
     const auto after = find_number(request.query, "after");
     const double wait_ms =
         after ? std::min(find_number(request.query, "wait_ms").value_or(0.0), max_wait_ms) : 0.0;
@@ -211,6 +213,8 @@
                                 {"configuration_calls", state.configuration_calls},
                                 {"vm_calls", state.vm_calls},
                                 {"not_modified", state.not_modified},
+                                {"bytes_in", state.bytes_in},
+                                {"bytes_out", state.bytes_out},
                                 {"resets", state.resets},
                                 {"waiting", state.waiting.size()},
                                 {"version", state.configuration.version},
--- a/src/stand_in/platform.hpp
+++ b/src/stand_in/platform.hpp
@@ -46,6 +46,8 @@
     std::uint64_t vm_calls = 0;
     std::uint64_t not_modified = 0;
     std::uint64_t resets = 0;
+    std::uint64_t bytes_in = 0;  ///< Of calls of readers, without the control calls.
+    std::uint64_t bytes_out = 0; ///< Of answers to readers.
 };
 
 /// Publishes a configuration and wakes the watches. Error: document_error.
--- a/test/correctness/stand_in/platform_test.cpp
+++ b/test/correctness/stand_in/platform_test.cpp
@@ -102,5 +102,23 @@
     EXPECT_EQ(counters.at("version"), 3);
 }
 
+// Guards against byte counters that stay at zero or count the control calls: the benchmark of the
+// control cost would then show a wrong figure.
+TEST_F(platform_test, counts_bytes_of_readers_only)
+{
+    http_request request = make_request("GET", "/v1/config", {});
+    request.wire_bytes = 120;
+    const http_reply reply = answer(context, handler, request);
+    EXPECT_EQ(reply.sent_bytes, &state.bytes_out);
+    state.bytes_out = 77;
+    http_request control_request = make_request("GET", "/control/counters", {});
+    control_request.wire_bytes = 5000;
+    const http_reply control_reply = answer(context, handler, control_request);
+    EXPECT_EQ(control_reply.sent_bytes, nullptr);
+    const auto counters = boost::json::parse(control_reply.body);
+    EXPECT_EQ(counters.at("bytes_in"), 120);
+    EXPECT_EQ(counters.at("bytes_out"), 77);
+}
+
 } // namespace
 } // namespace zinniaferry::stand_in
