Ignore the end of a deadline after its timer is destroyed

Cause: destroying a timer does not take back a wait that has already ended; its queued handler then ran on freed memory. A probe whose deadline passed in the same pass of the event loop in which it ended hit this. Change: the handler holds a weak reference and does nothing without it. The new test fails with the old timer.

--- a/src/net/deadline_timer.cpp
+++ b/src/net/deadline_timer.cpp
@@ -32,12 +32,19 @@
 {
     armed_for_ = at;
     timer_.expires_at(to_steady(at));
-    timer_.async_wait([this](const boost::system::error_code& error) { on_fire(error); });
+    timer_.async_wait(
+        [this, alive = std::weak_ptr<char>(alive_)](const boost::system::error_code& error)
+        {
+            if (!alive.expired())
+            {
+                on_fire(error);
+            }
+        });
 }
 
 void deadline_timer::on_fire(const boost::system::error_code& error)
 {
-    // An aborted wait means that the timer was armed again or destroyed with its owner.
+    // An aborted wait means that the timer was armed again.
     if (error)
     {
         return;
--- a/src/net/deadline_timer.hpp
+++ b/src/net/deadline_timer.hpp
@@ -7,6 +7,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <memory>
+
 namespace zinniaferry::net
 {
 
@@ -17,6 +19,8 @@
 public:
     /// Precondition: `socket` outlives the timer.
     explicit deadline_timer(boost::asio::ip::tcp::socket& socket);
+    deadline_timer(const deadline_timer&) = delete;
+    deadline_timer& operator=(const deadline_timer&) = delete;
 
     /// Sets the deadline. Thread safety: the socket's executor only.
     void expires_at(core::time_point deadline);
@@ -37,6 +41,9 @@
     core::time_point deadline_ = core::time_point::max();
     core::time_point armed_for_ = core::time_point::max();
     bool expired_ = false;
+    /// Ends with this object. Destroying a timer does not take back a wait that has already ended
+    /// and whose handler is only queued.
+    std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
 
 /// Returns the steady clock's time point for a time point of the decision logic. Thread safe.
--- /dev/null
+++ b/test/correctness/net/deadline_timer_test.cpp
@@ -0,0 +1,77 @@
+#include "net/deadline_timer.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+#include <optional>
+
+namespace zinniaferry::net
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+struct connected_pair
+{
+    asio::io_context io;
+    tcp::acceptor acceptor{io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
+    tcp::socket near{io};
+    tcp::socket far{io};
+
+    connected_pair()
+    {
+        near.connect(acceptor.local_endpoint());
+        acceptor.accept(far);
+    }
+};
+
+// Guards against a deadline that does not end the pending read.
+TEST(deadline_timer_test, cancels_pending_operations)
+{
+    connected_pair pair;
+    deadline_timer timer(pair.near);
+    char byte = 0;
+    error_code result;
+    pair.near.async_read_some(asio::buffer(&byte, 1),
+                              [&](error_code error, std::size_t) { result = error; });
+    timer.expires_at(core::steady_now() - std::chrono::milliseconds(1));
+    pair.io.run();
+    EXPECT_EQ(result, asio::error::operation_aborted);
+    EXPECT_TRUE(timer.expired());
+}
+
+// Guards against the handler of a destroyed timer: when the deadline passed in the same pass of the
+// event loop in which the owner ended, daemons wrote to freed memory and crashed.
+TEST(deadline_timer_test, does_nothing_after_its_end)
+{
+    connected_pair pair;
+    // The storage stays valid, so that a late handler shows as a cancelled read in any build.
+    std::optional<deadline_timer> timer(std::in_place, pair.near);
+    bool read_ended = false;
+    char byte = 0;
+    pair.near.async_read_some(asio::buffer(&byte, 1),
+                              [&](error_code, std::size_t) { read_ended = true; });
+    const core::time_point passed = core::steady_now() - std::chrono::milliseconds(1);
+    // Ends first, in the same pass: both waits are already over when the loop starts.
+    asio::steady_timer owner(pair.io, to_steady(passed - std::chrono::milliseconds(1)));
+    bool owner_ended = false;
+    owner.async_wait(
+        [&](error_code)
+        {
+            timer.reset();
+            owner_ended = true;
+        });
+    timer->expires_at(passed);
+    for (int i = 0; i < 10; ++i)
+    {
+        pair.io.poll();
+    }
+    EXPECT_TRUE(owner_ended);
+    EXPECT_FALSE(read_ended);
+}
+
+} // namespace
+} // namespace zinniaferry::net
