--- a/src/net/deadline_timer.cpp
+++ b/src/net/deadline_timer.cpp
@@ -4,15 +4,15 @@
 {
 
 deadline_timer::deadline_timer(boost::asio::ip::tcp::socket& socket)
-    : socket_(socket), timer_(socket.get_executor())
+    : m_socket(socket), m_timer(socket.get_executor())
 {
 }
 
 void deadline_timer::expires_at(core::time_point deadline)
 {
-    expired_ = false;
-    deadline_ = deadline;
-    if (deadline < armed_for_)
+    m_expired = false;
+    m_deadline = deadline;
+    if (deadline < m_armed_for)
     {
         arm(deadline);
     }
@@ -25,15 +25,15 @@
 
 void deadline_timer::clear()
 {
-    deadline_ = core::time_point::max();
+    m_deadline = core::time_point::max();
 }
 
 void deadline_timer::arm(core::time_point at)
 {
-    armed_for_ = at;
-    timer_.expires_at(to_steady(at));
-    timer_.async_wait(
-        [this, alive = std::weak_ptr<char>(alive_)](const boost::system::error_code& error)
+    m_armed_for = at;
+    m_timer.expires_at(to_steady(at));
+    m_timer.async_wait(
+        [this, alive = std::weak_ptr<char>(m_alive)](const boost::system::error_code& error)
         {
             if (!alive.expired())
             {
@@ -49,19 +49,19 @@
     {
         return;
     }
-    armed_for_ = core::time_point::max();
-    if (deadline_ == core::time_point::max())
+    m_armed_for = core::time_point::max();
+    if (m_deadline == core::time_point::max())
     {
         return;
     }
-    if (core::steady_now() < deadline_)
+    if (core::steady_now() < m_deadline)
     {
-        arm(deadline_);
+        arm(m_deadline);
         return;
     }
-    expired_ = true;
+    m_expired = true;
     boost::system::error_code ignored;
-    socket_.cancel(ignored);
+    m_socket.cancel(ignored);
 }
 
 } // namespace zinniaferry::net
--- a/src/net/deadline_timer.hpp
+++ b/src/net/deadline_timer.hpp
@@ -30,20 +30,20 @@
     void clear();
 
     /// True when the deadline has passed since it was last set.
-    bool expired() const { return expired_; }
+    bool expired() const { return m_expired; }
 
 private:
     void arm(core::time_point at);
     void on_fire(const boost::system::error_code& error);
 
-    boost::asio::ip::tcp::socket& socket_;
-    boost::asio::steady_timer timer_;
-    core::time_point deadline_ = core::time_point::max();
-    core::time_point armed_for_ = core::time_point::max();
-    bool expired_ = false;
+    boost::asio::ip::tcp::socket& m_socket;
+    boost::asio::steady_timer m_timer;
+    core::time_point m_deadline = core::time_point::max();
+    core::time_point m_armed_for = core::time_point::max();
+    bool m_expired = false;
     /// Ends with this object. Destroying a timer does not take back a wait that has already ended
     /// and whose handler is only queued.
-    std::shared_ptr<char> alive_ = std::make_shared<char>();
+    std::shared_ptr<char> m_alive = std::make_shared<char>();
 };
 
 /// Returns the steady clock's time point for a time point of the decision logic. Thread safe.
