Count requests that were refused before they were started

Malformed, oversized and slow requests were answered without reaching the decider, so zinnia_requests_total and zinnia_refusals_total never showed them. The front end now counts them.

A request with bare line feeds: zinnia_refusals_total{error="bad_request"} 0 before, 1 after.

--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -208,6 +208,7 @@
     const auto described = describe_request(request);
     if (const auto* error = std::get_if<node::request_error>(&described))
     {
+        node::count_malformed(context.host.decider(), *error);
         co_return co_await write_refusal(*connection, {.error = *error}, request, false);
     }
     connection->attempt = {};
@@ -237,6 +238,7 @@
         co_return;
     }
     const node::refusal refusal = {.error = classify_parse_error(error)};
+    node::count_malformed(connection.context.host.decider(), refusal.error);
     co_await write_answer(connection, make_refusal(refusal, 11, false));
     co_await close_gracefully(connection);
 }
--- a/src/node/decider.hpp
+++ b/src/node/decider.hpp
@@ -135,6 +135,9 @@
 /// Requests. Each started request ends with exactly one refusal or relay_answer.
 action_list start_request(decider& state, request_id id, const request_description& request,
                           core::time_point now);
+/// Counts a request that was refused before it could be started, because it was malformed, too
+/// large or did not arrive whole in time.
+void count_malformed(decider& state, request_error error);
 
 /// Asks, directly before the first byte of an attempt is written, whether it still may be. After
 /// true the bytes count as having left; after false the driver reports attempt_end::not_sent.
--- a/src/node/request_flow.cpp
+++ b/src/node/request_flow.cpp
@@ -572,6 +572,12 @@
     return actions;
 }
 
+void count_malformed(decider& state, request_error error)
+{
+    ++state.counters.requests;
+    count_refusal(state, {}, error);
+}
+
 bool bytes_leaving(decider& state, request_id id, core::time_point now)
 {
     request_record* record = find(state, id);
--- a/test/error/net/http_bad_input_test.cpp
+++ b/test/error/net/http_bad_input_test.cpp
@@ -96,6 +96,16 @@
     EXPECT_EQ(server.received(), "");
 }
 
+// Guards against refusals that no metric shows, because the request never reached the decider.
+TEST_P(bad_input, is_counted_by_its_error)
+{
+    raw_server server(whole_answer);
+    front_end daemon(one_server_configuration(server.address()));
+    const std::uint64_t before = daemon.refusals(GetParam().error);
+    daemon.exchange(GetParam().bytes, true);
+    EXPECT_EQ(daemon.refusals(GetParam().error), before + 1);
+}
+
 INSTANTIATE_TEST_SUITE_P(requests, bad_input, testing::ValuesIn(bad_requests()),
                          [](const auto& info) { return std::string(info.param.name); });
 
--- a/test/support/front_end.hpp
+++ b/test/support/front_end.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <future>
 #include <string>
 #include <thread>
 #include <vector>
@@ -157,6 +158,25 @@
         return {asio::buffers_begin(answer.data()), asio::buffers_end(answer.data())};
     }
 
+    /// Returns how often requests were refused with this error so far.
+    std::uint64_t refusals(std::string_view error)
+    {
+        std::promise<std::uint64_t> count;
+        asio::post(io_,
+                   [&]
+                   {
+                       const auto& refused = decider_->counters.refused;
+                       std::uint64_t sum = 0;
+                       for (std::size_t i = 0; i < refused.size(); ++i)
+                       {
+                           const auto each = static_cast<node::request_error>(i);
+                           sum += node::to_string(each) == error ? refused[i] : 0;
+                       }
+                       count.set_value(sum);
+                   });
+        return count.get_future().get();
+    }
+
 private:
     /// Longer than the quarantine of leases and the wait of a new permit holder.
     static constexpr auto warm_up = std::chrono::seconds(40);
