--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -10,13 +10,16 @@
 example=${DEMO_EXAMPLE:-kandy}
 rate=${DEMO_RATE:-400}
 export FLEET_DAEMONS=${FLEET_DAEMONS:-4} FLEET_PORT=${FLEET_PORT:-23000}
-ip=127.0.0.1
 load_s=14 out_after_s=2 back_after_s=10
 settle_s=5 # R3: none after 5 s.
 in_force_s=12 # R11.
 
 folder=$(mktemp -d)
 export FLEET_FOLDER=$folder
+base=$FLEET_PORT
+daemons=$FLEET_DAEMONS
+# shellcheck source=tools/fleet_common.sh
+source tools/fleet_common.sh
 fleet=''
 load=''
 failures=()
@@ -44,12 +47,10 @@
     sed -E "s/\"version\": *[0-9]+/\"version\":$1/
             /\"name\": *\"$centre\", *\"region\"/s/\"state\": *\"[a-z]+\"/\"state\":\"$2\"/" \
         "$folder/config.json" >"$folder/config-$1.json"
-    curl -sf -m 5 -o /dev/null -X PUT --data-binary "@$folder/config-$1.json" "http://$ip:$FLEET_PORT/control/config" ||
+    publish_file "$folder/config-$1.json" ||
         failures+=("version $1 could not be published")
 }
 
-now_us() { date +%s%6N; }
-
 # Starts of executions on servers of the data centre between two moments (microseconds).
 executions_in_centre() {
     awk -v from="$1" -v to="$2" -v names="$servers" '
@@ -73,32 +74,9 @@
 done
 cat "$folder/fleet.out"
 
-# The configuration holds digests of keys only, so the demo gives each account a key of its own.
-sed -nE '/"accounts"/,/"services"/s/.*"name": *"([^"]+)", *"keys".*"rate": *([0-9.]+).*/\1 \2/p' \
-    "$folder/config.json" >"$folder/accounts"
-while read -r account _; do
-    digest=$(printf 'demo-key-%s' "$account" | sha256sum | cut -d' ' -f1)
-    sed -i -E "/\"name\": *\"$account\", *\"keys\"/s/\"keys\": *\[[^]]*\]/\"keys\":[\"$digest\"]/" "$folder/config.json"
-done <"$folder/accounts"
-{
-    echo '{"accounts":['
-    while read -r account account_rate; do
-        echo "{\"name\":\"$account\",\"key\":\"demo-key-$account\",\"rate\":$account_rate},"
-    done <"$folder/accounts"
-    echo '],"routes":['
-    sed -nE 's/.*"prefix": *"([^"]+)".*"class": *"([a-z]+)".*"idempotent": *(true|false).*"open": *(true|false).*/\1 \2 \3 \4/p' \
-        "$folder/config.json" | while read -r path class idempotent open; do
-        weight=3 method=GET
-        if [[ $class == lookup ]]; then weight=6; fi
-        keyed=false
-        if [[ $idempotent == false ]]; then weight=1 method=POST keyed=true; fi
-        echo "{\"name\":\"$path\",\"method\":\"$method\",\"path\":\"$path\",\"weight\":$weight,\"idempotent\":$idempotent,\"idempotency_key\":$keyed,\"open\":$open},"
-    done
-    echo ']}'
-} >"$folder/mix.json"
+write_mix
 centre=$(sed -nE '/"data_centres"/,/"accounts"/s/.*"name": *"([^"]+)", *"region".*/\1/p' "$folder/config.json" | head -n 1)
 servers=$(sed -nE "s/.*\"name\": *\"([^\"]+)\", *\"data_centre\": *\"$centre\".*/\1/p" "$folder/config.json" | tr '\n' ' ')
-targets=$(seq -f "$ip:%g" -s, $((FLEET_PORT + 10)) $((FLEET_PORT + 9 + FLEET_DAEMONS)))
 publish 2 in
 # A fresh fleet knows no warm server. The first permits come after the quarantine of the leases (10 s) and the wait of a
 # new permit holder (5 s).
@@ -106,7 +84,7 @@
 
 echo "== load: $rate requests/s for $load_s s; $centre out after $out_after_s s, back after $back_after_s s"
 started=$(now_us)
-"$build/bin/zinnia_load" --target "$targets" --mix "$folder/mix.json" --duration $load_s --rate "$rate" \
+"$build/bin/zinnia_load" --target "$(all_targets)" --mix "$folder/mix.json" --duration $load_s --rate "$rate" \
     --repeat-orders 0.2 --record "$folder/records" >"$folder/report" 2>"$folder/load.err" &
 load=$!
 sleep $out_after_s
@@ -150,8 +128,8 @@
 
 echo "== backend servers"
 # The controls follow the platform's port, one per service. The sums over all servers come first in the counters.
-services=$(grep -cE '"name": *"[^"]*", *"slots"' "$folder/config.json")
-for ((i = 1; i <= services; i++)); do
+service_count=$(grep -cE '"name": *"[^"]*", *"slots"' "$folder/config.json")
+for ((i = 1; i <= service_count; i++)); do
     counters=$(curl -sf -m 5 "http://$ip:$((FLEET_PORT + i))/control/counters" || true)
     for name in executions shed cancelled cold_overruns key_headers; do
         count=$(grep -oE "\"$name\":[0-9]+" <<<"$counters" | head -n 1 | cut -d: -f2 || true)
@@ -165,14 +143,10 @@
 
 echo "== outcomes"
 # A demo that served nearly nobody must not pass; the floor is far below what a healthy fleet answers.
-read -r sent answered < <(grep '"idempotent":true' "$folder/records" |
-    awk '/"outcome":"answered"/ { answered++ } END { print NR, answered + 0 }')
+read -r sent answered < <(idempotent_answered "$folder/records")
 echo "idempotent requests answered: $answered of $sent"
 if ((answered * 10 < sent * 9 || sent == 0)); then failures+=("fewer than 9 in 10 idempotent requests were answered"); fi
-read -r keys done_keys < <(grep -E '"idempotency_key":"[^"]' "$folder/records" |
-    awk '{ match($0, /"idempotency_key":"[^"]*"/); key = substr($0, RSTART, RLENGTH); all[key] = 1 }
-         /"outcome":"answered"/ { won[key] = 1 }
-         END { for (k in all) n++; for (k in won) m++; print n + 0, m + 0 }')
+read -r keys done_keys < <(orders_answered "$folder/records")
 echo "orders answered: $done_keys of $keys"
 if ((done_keys * 10 < keys * 9 || keys == 0)); then failures+=("fewer than 9 in 10 orders were answered"); fi
 give_verdict
--- /dev/null
+++ b/tools/fleet_common.sh
@@ -0,0 +1,169 @@
+# Functions that start, use and stop a fleet on fixed loopback ports; sourced by the other scripts.
+#
+# The caller sets: build (folder with bin/), base (first port), folder (for settings and logs), daemons (number).
+# Ports: platform +0, controls +1.., daemons +10.., their admin listeners +30.., their peer listeners +50..,
+# backend servers +100..
+# shellcheck shell=bash
+# shellcheck disable=SC2154 # build, base, folder and daemons come from the caller.
+
+ip=127.0.0.1
+admin_credential=loopback-admin-credential
+daemon_pids=()
+stub_pids=()
+centres=()  # "NAME REGION"
+services=() # "NAME SLOTS COLD_ALLOWANCE"
+
+now_us() { date +%s%6N; }
+
+# Sends TERM, then KILL to those that have not ended after 15 s.
+stop_all() {
+    local pid waited=0
+    for pid in "$@"; do kill -TERM "$pid" 2>/dev/null || true; done
+    for pid in "$@"; do
+        while kill -0 "$pid" 2>/dev/null && ((waited < 150)); do
+            sleep 0.1
+            waited=$((waited + 1))
+        done
+        kill -KILL "$pid" 2>/dev/null || true
+        wait "$pid" 2>/dev/null || true
+    done
+}
+
+# Daemons first: their requests in flight need the backend servers.
+stop_fleet() {
+    stop_all "${daemon_pids[@]}"
+    stop_all "${stub_pids[@]}"
+    daemon_pids=()
+    stub_pids=()
+}
+
+# Writes config.json, vms.json and the settings of each daemon, and fills `centres` and `services`.
+prepare_fleet() { # EXAMPLE
+    local example=$1 i centre region separator=''
+    # A fleet of this size needs its own majority; one more process may run while one is replaced.
+    "$build/bin/$example" --base-port $((base + 100)) |
+        sed -E "s/\"max_vms\": *[0-9]+/\"max_vms\":$((daemons + 1))/
+                s/\"lease_term_ms\": *[0-9]+/\"lease_term_ms\":${FLEET_LEASE_MS:-2000}/" >"$folder/config.json"
+    # The examples print one entry per line. The data centres stand between their own name and "accounts".
+    mapfile -t centres < <(sed -n \
+        '/"data_centres"/,/"accounts"/s/.*"name": *"\([^"]*\)".*"region": *"\([^"]*\)".*/\1 \2/p' "$folder/config.json")
+    mapfile -t services < <(sed -nE \
+        's/.*"name": *"([^"]*)", *"slots": *([0-9]+), *"cold_allowance": *([0-9]+).*/\1 \2 \3/p' "$folder/config.json")
+    if ((${#centres[@]} == 0 || ${#services[@]} == 0)); then
+        echo "fleet: found no data centres or services in the configuration of $example" >&2
+        return 2
+    fi
+    printf '{"vms":[' >"$folder/vms.json"
+    for ((i = 0; i < daemons; i++)); do
+        read -r centre region <<<"${centres[i % ${#centres[@]}]}"
+        printf '%s\n{"name":"vm-%d","data_centre":"%s","peer_address":"%s:%d","admin_address":"%s:%d","state":"live"}' \
+            "$separator" $((i + 1)) "$centre" $ip $((base + 50 + i)) $ip $((base + 30 + i)) >>"$folder/vms.json"
+        separator=','
+        cat >"$folder/vm-$((i + 1)).json" <<SETTINGS
+{"vm":"vm-$((i + 1))", "data_centre":"$centre", "region":"$region",
+ "listen":"$ip:$((base + 10 + i))", "admin_listen":"$ip:$((base + 30 + i))", "peer_listen":"$ip:$((base + 50 + i))",
+ "platform":"$ip:$base", "peer_secret":"loopback-peer-secret", "admin_credential":"$admin_credential",
+ "log_level":"info", "log_format":"text", "stop_grace_ms":500, "threads":1}
+SETTINGS
+    done
+    printf '\n]}\n' >>"$folder/vms.json"
+}
+
+start_stand_ins() {
+    local first=$((base + 100)) control=$((base + 1)) entry service slots allowance count
+    "$build/bin/platform_stub" --listen "$ip:$base" --config "$folder/config.json" --vms "$folder/vms.json" \
+        >"$folder/platform.log" 2>&1 &
+    stub_pids+=($!)
+    echo "platform      $ip:$base"
+    for entry in "${services[@]}"; do
+        read -r service slots allowance <<<"$entry"
+        count=$(grep -cE "\"name\": *\"$service-[0-9]+\", *\"data_centre\"" "$folder/config.json")
+        "$build/bin/backend_stub" --service "$service" --listen "$ip:$first" --count "$count" \
+            --control "$ip:$control" --slots "$slots" --queue 8 --service-ms "${FLEET_SERVICE_MS:-4}" \
+            --cold-ms "${FLEET_COLD_MS:-500}" --cold-allowance "$allowance" --log "$folder/$service.executions" \
+            >"$folder/$service.log" 2>&1 &
+        stub_pids+=($!)
+        echo "service       $service: $count servers from $ip:$first, control $ip:$control"
+        first=$((first + count))
+        control=$((control + 1))
+    done
+}
+
+start_daemon() { # INDEX from 0; the log of a former process is kept.
+    "$build/bin/zinniaferry" --settings "$folder/vm-$(($1 + 1)).json" >>"$folder/vm-$(($1 + 1)).log" 2>&1 &
+    daemon_pids[$1]=$!
+}
+
+wait_ready() { # INDEX
+    local tries
+    for ((tries = 0; tries < 150; tries++)); do
+        if curl -sf -m 1 -o /dev/null "http://$ip:$((base + 30 + $1))/readyz"; then return 0; fi
+        if ! kill -0 "${daemon_pids[$1]}" 2>/dev/null; then break; fi
+        sleep 0.1
+    done
+    echo "fleet: vm-$(($1 + 1)) did not get ready; the end of its log:" >&2
+    tail -n 5 "$folder/vm-$(($1 + 1)).log" >&2
+    return 1
+}
+
+# Starts everything that prepare_fleet wrote down and waits until all daemons are ready.
+start_fleet() {
+    local i
+    start_stand_ins
+    for ((i = 0; i < daemons; i++)); do
+        start_daemon "$i"
+        echo "daemon        vm-$((i + 1)): callers $ip:$((base + 10 + i)), admin $ip:$((base + 30 + i))"
+    done
+    for ((i = 0; i < daemons; i++)); do wait_ready "$i" || return 1; done
+}
+
+# The configuration holds digests of keys only, so trials give each account a key of their own: demo-key-ACCOUNT.
+# Writes the keys into config.json and a mix for zinnia_load into mix.json.
+write_mix() {
+    local account account_rate digest path class idempotent open weight method keyed
+    sed -nE '/"accounts"/,/"services"/s/.*"name": *"([^"]+)", *"keys".*"rate": *([0-9.]+).*/\1 \2/p' \
+        "$folder/config.json" >"$folder/accounts"
+    while read -r account _; do
+        digest=$(printf 'demo-key-%s' "$account" | sha256sum | cut -d' ' -f1)
+        sed -i -E "/\"name\": *\"$account\", *\"keys\"/s/\"keys\": *\[[^]]*\]/\"keys\":[\"$digest\"]/" "$folder/config.json"
+    done <"$folder/accounts"
+    {
+        echo '{"accounts":['
+        while read -r account account_rate; do
+            echo "{\"name\":\"$account\",\"key\":\"demo-key-$account\",\"rate\":$account_rate},"
+        done <"$folder/accounts"
+        echo '],"routes":['
+        sed -nE 's/.*"prefix": *"([^"]+)".*"class": *"([a-z]+)".*"idempotent": *(true|false).*"open": *(true|false).*/\1 \2 \3 \4/p' \
+            "$folder/config.json" | while read -r path class idempotent open; do
+            weight=3 method=GET
+            if [[ $class == lookup ]]; then weight=6; fi
+            keyed=false
+            if [[ $idempotent == false ]]; then weight=1 method=POST keyed=true; fi
+            echo "{\"name\":\"$path\",\"method\":\"$method\",\"path\":\"$path\",\"weight\":$weight,\"idempotent\":$idempotent,\"idempotency_key\":$keyed,\"open\":$open},"
+        done
+        echo ']}'
+    } >"$folder/mix.json"
+}
+
+# The daemons as zinnia_load's --target.
+all_targets() { seq -f "$ip:%g" -s, $((base + 10)) $((base + 9 + daemons)); }
+
+publish_file() { # FILE with a configuration
+    curl -sf -m 5 -o /dev/null -X PUT --data-binary "@$1" "http://$ip:$base/control/config"
+}
+
+version_of() { # INDEX: the version in force, empty when the daemon does not answer.
+    curl -sf -m 2 "http://$ip:$((base + 30 + $1))/metrics" | sed -n 's/^zinnia_configuration_version //p' || true
+}
+
+orders_answered() { # RECORDS: prints "ORDERS ANSWERED", each idempotency key counted once.
+    { grep -E '"idempotency_key":"[^"]' "$1" || true; } |
+        awk '{ match($0, /"idempotency_key":"[^"]*"/); key = substr($0, RSTART, RLENGTH); all[key] = 1 }
+             /"outcome":"answered"/ { won[key] = 1 }
+             END { for (k in all) n++; for (k in won) m++; print n + 0, m + 0 }'
+}
+
+idempotent_answered() { # RECORDS: prints "SENT ANSWERED".
+    { grep '"idempotent":true' "$1" || true; } |
+        awk '/"outcome":"answered"/ { answered++ } END { print NR, answered + 0 }'
+}
