Name the peer address that is in use

A peer port in use ended the daemon with "internal error", because run_daemon passed on an error of a type that it does not document. It now turns it into listen_error.

Before: zinniaferry: internal error. After: zinniaferry: cannot listen on 127.0.0.1:32700: Address already in use.

--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -109,7 +109,7 @@
         BOOST_LEAF_AUTO(admin, open_listener(settings_.admin_listen));
         callers_ = std::make_unique<asio::ip::tcp::acceptor>(std::move(callers));
         admin_acceptor_ = std::make_unique<asio::ip::tcp::acceptor>(std::move(admin));
-        BOOST_LEAF_CHECK(peers_.listen());
+        BOOST_LEAF_CHECK(listen_to_peers());
         log_->info("started as {}, callers on {}", core::to_string(self_), settings_.listen);
         spawn(accept_callers());
         spawn(accept_admin());
@@ -161,6 +161,15 @@
         return acceptor;
     }
 
+    core::result<void> listen_to_peers()
+    {
+        return boost::leaf::try_handle_some(
+            [&] { return peers_.listen(); },
+            [](const address_error& error) -> core::result<void> {
+                return boost::leaf::new_error(listen_error{error.address, error.error_number});
+            });
+    }
+
     asio::awaitable<void> accept_callers()
     {
         while (callers_->is_open())
--- a/src/net/peer_link.hpp
+++ b/src/net/peer_link.hpp
@@ -45,6 +45,7 @@
 {
     std::string address;
     std::string detail;
+    int error_number = 0; ///< errno.
 };
 
 /// Takes a message whose sender is the authenticated identity of the connection.
--- a/src/net/peer_link_state.cpp
+++ b/src/net/peer_link_state.cpp
@@ -63,7 +63,8 @@
     const std::optional<tcp::endpoint> endpoint = endpoint_of(options.listen_address);
     if (!endpoint)
     {
-        return leaf::new_error(address_error{options.listen_address, "not an IP and a port"});
+        return leaf::new_error(
+            address_error{options.listen_address, "not an IP and a port", EINVAL});
     }
     error_code error;
     acceptor.open(endpoint->protocol(), error);
@@ -81,7 +82,8 @@
     }
     if (error)
     {
-        return leaf::new_error(address_error{options.listen_address, error.message()});
+        return leaf::new_error(
+            address_error{options.listen_address, error.message(), error.value()});
     }
     accept();
     return {};
