--- /dev/null
+++ b/test/fuzz/configuration.cpp
@@ -0,0 +1,22 @@
+// Fuzzes the reader of configurations. Guards against text that crashes it and against an accepted
+// document that the canonical printer does not give back, which would change its digest.
+#include "config/printer.hpp"
+#include "config/reader.hpp"
+#include "fuzz/fuzz_target.hpp"
+
+using namespace zinniaferry;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    const auto read = config::read_configuration(fuzz::as_text(data, size), "fuzz");
+    if (read)
+    {
+        const std::string printed = config::print(*read);
+        const auto again = config::read_configuration(printed, "printed");
+        fuzz::require(bool(again), "a printed configuration can be read");
+        fuzz::require(config::print(*again) == printed, "printing is canonical");
+        fuzz::require(config::digest_of(*again) == config::digest_of(*read),
+                      "the digest stays the same");
+    }
+    return 0;
+}
--- /dev/null
+++ b/test/fuzz/settings.cpp
@@ -0,0 +1,23 @@
+// Fuzzes the reader of settings. Guards against text that crashes it or gets through with values
+// out of range.
+#include "config/settings.hpp"
+#include "fuzz/fuzz_target.hpp"
+
+using namespace zinniaferry;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    const auto read = config::read_settings(fuzz::as_text(data, size), "fuzz");
+    if (read)
+    {
+        fuzz::require(read->peer_secret.size() >= config::min_secret_length &&
+                          read->admin_credential.size() >= config::min_secret_length,
+                      "a secret is long enough");
+        fuzz::require(read->threads >= 1 && read->threads <= config::max_threads,
+                      "the number of threads is in range");
+        fuzz::require(read->stop_grace >= core::duration::zero() &&
+                          read->stop_grace <= config::max_stop_grace,
+                      "the grace time is in range");
+    }
+    return 0;
+}
