--- a/src/node/request_records.cpp
+++ b/src/node/request_records.cpp
@@ -90,6 +90,12 @@
     return {refusal{.request = id, .error = error, .retry_after = retry_after}};
 }
 
+void count_malformed(decider& state, request_error error)
+{
+    ++state.counters.requests;
+    count_refusal(state, {}, error);
+}
+
 void refuse_shed(decider& state, const std::vector<routing::queued_request>& shed,
                  core::time_point now, action_list& actions)
 {
