--- a/bench/limits.cpp
+++ b/bench/limits.cpp
@@ -69,16 +69,29 @@
 }
 
 // Seats of VMs that do not run are wasted; this shows how much of the loss comes from them.
-std::vector<config::account> accounts_with_small_seats()
+std::vector<config::account> accounts_with_large_seats()
 {
     std::vector<config::account> accounts = usual_accounts();
     for (config::account& account : accounts)
     {
-        account.seat_fraction = 0.2;
+        account.seat_fraction = 0.5;
     }
     return accounts;
 }
 
+// The sizes of Tanrend, see examples/tanrend_deployment.hpp.
+std::vector<config::account> tanrend_accounts()
+{
+    return {{.name = "budapest-schools", .rate = 2000, .burst = 4000},
+            {.name = "alfold-publishing", .rate = 1500, .burst = 3000},
+            {.name = "dunantul-press", .rate = 1000, .burst = 2000},
+            {.name = "szeged-textbooks", .rate = 400, .burst = 800},
+            {.name = "debrecen-music", .rate = 200, .burst = 400},
+            {.name = "miskolc-crafts", .rate = 150, .burst = 300},
+            {.name = "pecs-languages", .rate = 100, .burst = 200},
+            {.name = "eger-evening-school", .rate = 50, .burst = 100}};
+}
+
 std::vector<config::account> small_bursts()
 {
     return {{.name = "burst-1", .rate = 0.5, .burst = 1},
@@ -97,7 +110,9 @@
         {.name = "split", .accounts = usual_accounts(), .splits = true},
         // Only an account that sends more than its rate shows two owners that both admit it.
         {.name = "split_greedy", .accounts = usual_accounts(), .greedy = "large-b", .splits = true},
-        {.name = "steady_small_seats", .accounts = accounts_with_small_seats()},
+        {.name = "steady_large_seats", .accounts = accounts_with_large_seats()},
+        {.name = "tanrend", .accounts = tanrend_accounts()},
+        {.name = "tanrend_greedy", .accounts = tanrend_accounts(), .greedy = "miskolc-crafts"},
         {.name = "small_bursts", .accounts = small_bursts()}};
 }
 
--- a/src/limits/virtual_fleet.cpp
+++ b/src/limits/virtual_fleet.cpp
@@ -1,5 +1,8 @@
 #include "limits/virtual_fleet.hpp"
 
+#include "fleet/codec.hpp"
+#include "net/peer_frame.hpp"
+
 #include <algorithm>
 
 namespace zinniaferry::limits
@@ -44,8 +47,7 @@
 {
     for (const fleet::outgoing& message : messages)
     {
-        const std::uint64_t bytes = estimated_bytes(message.body);
-        from.bytes_sent += bytes;
+        from.bytes_sent += wire_bytes({.from = from.id, .body = message.body});
         ++fleet.messages_sent;
         fleet.loan_messages_sent += message.body.index() >= 6 && message.body.index() <= 8 ? 1 : 0;
         const std::size_t to = index_of(message.to_vm);
@@ -311,28 +313,10 @@
     settle_waiting(fleet, state);
 }
 
-std::uint64_t estimated_bytes(const fleet::message_body& body)
+std::uint64_t wire_bytes(const fleet::message& message)
 {
-    // Length, sequence number and MAC; then identity and message pointers.
-    constexpr std::uint64_t frame = 4 + 8 + 16 + 48;
-    constexpr std::uint64_t name = 16;
-    if (const auto* request = std::get_if<fleet::loan_request>(&body))
-    {
-        return frame + 16 + request->wants.size() * (name + 32);
-    }
-    if (const auto* reply = std::get_if<fleet::loan_reply>(&body))
-    {
-        return frame + 24 + reply->shares.size() * (name + 40) + reply->refused.size() * 8;
-    }
-    if (const auto* returned = std::get_if<fleet::loan_return>(&body))
-    {
-        return frame + 8 + returned->loan_ids.size() * 8;
-    }
-    if (std::holds_alternative<fleet::lease_reply>(body))
-    {
-        return frame + 24 + name + 16;
-    }
-    return frame + 24;
+    const auto payload = fleet::encode(message);
+    return payload ? net::frame_header_size + payload->size() : 0;
 }
 
 void record(bound_meter& meter, core::time_point at)
--- a/src/limits/virtual_fleet.hpp
+++ b/src/limits/virtual_fleet.hpp
@@ -121,9 +121,9 @@
 /// Puts a configuration in force at one process.
 void configure(virtual_fleet& fleet, std::size_t process, const config::configuration& config);
 
-/// Returns the bytes of a message on the wire by estimate: frame, identity and body fields.
-/// Thread safe.
-std::uint64_t estimated_bytes(const fleet::message_body& body);
+/// Returns the bytes of a message on a connection: its encoding and the header of its frame; 0 for
+/// a message beyond the codec's bounds, which is never sent. Thread safe.
+std::uint64_t wire_bytes(const fleet::message& message);
 
 /// Checks that no window admits more than rate x window + burst: the least bucket of that rate
 /// that would have borne all admissions. Copyable.
