Give seats a fifth of an account's capacity by default

Cause: at 90% load with 18 of 20 VMs, half of the rate in seats loses 5% in seats of VMs that do not run, and small seats overflow. A side without a majority serves a fifth of the rate instead of half.

--- a/src/config/builder.hpp
+++ b/src/config/builder.hpp
@@ -24,7 +24,7 @@
     std::vector<std::string> keys; ///< Plain text; two during a rotation.
     double rate = 0.0;             ///< Requests a second over all VMs.
     double burst = 0.0;            ///< Requests.
-    double seat_fraction = 0.5;
+    double seat_fraction = 0.2;
 };
 
 /// A deployment as operators write it. Regions, data centres, services and routes are the structs
--- a/src/config/model.hpp
+++ b/src/config/model.hpp
@@ -43,7 +43,7 @@
     std::vector<core::digest> keys; ///< SHA-256 of each valid key; two during a rotation.
     double rate = 0.0;              ///< Requests a second over all VMs.
     double burst = 0.0;             ///< Requests.
-    double seat_fraction = 0.5;     ///< Part of rate and burst that is divided by `max_vms`.
+    double seat_fraction = 0.2;     ///< Part of rate and burst that is divided by `max_vms`.
 
     bool operator==(const account&) const = default;
 };
--- a/tutorial/lesson_05_limits_and_cold_servers.cpp
+++ b/tutorial/lesson_05_limits_and_cold_servers.cpp
@@ -24,7 +24,7 @@
     // Seats are the part of the rate and the burst that each VM may spend without asking. With a
     // burst below two requests per VM, a seat would hold a fraction of a request and waste it, so
     // all of it goes to the pool, which lends it to the VMs that need it.
-    const double seat_fraction = burst < 2.0 * max_vms ? 0.0 : 0.5;
+    const double seat_fraction = burst < 2.0 * max_vms ? 0.0 : 0.2;
     return {
         .name = name, .keys = {key}, .rate = rate, .burst = burst, .seat_fraction = seat_fraction};
 }
