Borrow only what waiting requests lack beyond held fractions

Cause: whole tokens were asked for and taken first, so the seat fractions of accounts served by whole tokens overflowed unused (a fifth of the rate). Change: the borrower asks for what its waiting requests lack; the lender gives enough for as many of them as it can; a grant that completes a held fraction does not count as a refusal.

--- a/src/fleet/messages.hpp
+++ b/src/fleet/messages.hpp
@@ -78,7 +78,7 @@
     std::string account;
     std::uint64_t loan_id = 0; ///< Unique among the sender's loans.
     double demand = 0.0;       ///< Requests a second that arrive at the sender.
-    double tokens = 0.0;       ///< Whole requests that wait now.
+    double tokens = 0.0;       ///< That the requests which wait now lack.
 };
 
 /// Asks for capacity of several accounts for `term`, counted by the borrower from sending.
--- a/src/limits/borrowing.cpp
+++ b/src/limits/borrowing.cpp
@@ -68,6 +68,28 @@
     return loan.live && loan.bucket.rate > 0.0 ? loan.bucket.cap - loan.bucket.tokens : 0.0;
 }
 
+double usable_tokens(account_state& account, core::time_point now)
+{
+    double tokens = 0.0;
+    for (share* bucket : usable_shares(account))
+    {
+        advance(*bucket, now);
+        tokens += bucket->tokens;
+    }
+    return tokens;
+}
+
+// What the waiting requests lack beyond the fractions that this process has. A whole token for each
+// would leave these fractions unused until they overflow.
+double lacking(account_state& account, core::time_point now)
+{
+    // Sums of fractions must not stay below a whole token by rounding.
+    constexpr double rounding = 1e-6;
+    const auto waiting = static_cast<double>(account.waiting.size());
+    const double tokens = usable_tokens(account, now);
+    return tokens > rounding ? std::max(0.0, waiting - tokens + rounding) : waiting;
+}
+
 // Whether a process with a rate of its own is about to run out: asking before a request has to
 // wait costs the same messages and no waiting.
 bool runs_low(account_state& account, core::time_point now)
@@ -101,11 +123,10 @@
     ++loan->generation;
     loan->pending = true;
     loan->asked = now;
-    state.batches[lender].wants.push_back(
-        {.account = account.name,
-         .loan_id = loan_id(loan->chain, loan->generation),
-         .demand = demand_now(state, account, now),
-         .tokens = static_cast<double>(account.waiting.size()) + room_in(*loan, now)});
+    state.batches[lender].wants.push_back({.account = account.name,
+                                           .loan_id = loan_id(loan->chain, loan->generation),
+                                           .demand = demand_now(state, account, now),
+                                           .tokens = lacking(account, now) + room_in(*loan, now)});
 }
 
 void end_unanswered(account_limiter& state, account_state& account, core::time_point now)
@@ -258,7 +279,8 @@
                     .last = now,
                     .expires = expires};
     loan->live = true;
-    if (kept + lent.tokens < std::max(1.0, static_cast<double>(account->waiting.size())))
+    const auto waiting = static_cast<double>(account->waiting.size());
+    if (usable_tokens(*account, now) < std::max(1.0, waiting))
     {
         note_refusal(state, *account, lender, now);
     }
--- a/src/limits/lending.cpp
+++ b/src/limits/lending.cpp
@@ -71,7 +71,9 @@
     const share& own = account.pool.bucket;
     const double wanted = unmet(want.demand, account.seat.rate);
     const double part = part_of(state, account, wanted, now);
-    const double whole = std::min(std::floor(own.tokens), std::ceil(want.tokens));
+    // Enough for as many of the requests as possible; less than the last part would serve none.
+    const double whole =
+        std::max(0.0, want.tokens - std::max(0.0, std::ceil(want.tokens - own.tokens)));
     double cap = std::min(account.pool.cap * lent_cap_fraction * part,
                           2.0 + wanted * core::to_seconds(longest_fill));
     double rate = lent_rate_fraction * std::min(wanted, account.pool.rate * part);
