Lend tokens ahead to middle accounts, without a rate

Cause: each request of a middle account cost an exchange (middle-b 36 and middle-c 41 a second), all answered by the holder. Change: with 6 arrivals or more in a loan term, the holder lends tokens for up to a second of demand with a cap and no rate, and renews the same loan, so that none overflow and what is left survives. Seats are used before loans.

--- a/src/limits/borrowing.cpp
+++ b/src/limits/borrowing.cpp
@@ -147,19 +147,6 @@
     }
 }
 
-// A spent loan of whole tokens ends at the lender by itself within milliseconds, so its return would
-// cost a message and bring nothing.
-void drop_spent(account_state& account, core::time_point now)
-{
-    std::erase_if(account.borrowed,
-                  [&](borrowed_share& loan)
-                  {
-                      advance(loan.bucket, now);
-                      return loan.live && !loan.pending && loan.bucket.rate <= 0.0 &&
-                             loan.bucket.tokens <= 0.0;
-                  });
-}
-
 void renew(account_limiter& state, account_state& account, double wanted, core::time_point now)
 {
     if (wanted <= account.seat.bucket.rate)
@@ -314,7 +301,6 @@
 {
     refresh(state, account, now);
     end_unanswered(state, account, now);
-    drop_spent(account, now);
     if (state.stopping || !state.options.way.lends || !account.configured)
     {
         return;
--- a/src/limits/capacity.cpp
+++ b/src/limits/capacity.cpp
@@ -199,8 +199,8 @@
 
 std::vector<share*> usable_shares(account_state& account)
 {
-    // Whole tokens come first, as they end within milliseconds. The seat comes before loans with a
-    // rate, since it overflows otherwise while the holder could have lent the tokens elsewhere.
+    // The seat comes first, since it overflows otherwise while the holder could have lent the
+    // tokens elsewhere; then loans in the order in which they end.
     std::vector<share*> shares;
     for (borrowed_share& loan : account.borrowed)
     {
@@ -211,9 +211,7 @@
     }
     std::sort(shares.begin(), shares.end(),
               [](const share* a, const share* b) { return a->expires < b->expires; });
-    const auto with_rate = std::stable_partition(
-        shares.begin(), shares.end(), [](const share* bucket) { return bucket->rate <= 0.0; });
-    shares.insert(with_rate, &account.seat.bucket);
+    shares.insert(shares.begin(), &account.seat.bucket);
     shares.push_back(&account.pool.bucket);
     return shares;
 }
--- a/src/limits/lending.cpp
+++ b/src/limits/lending.cpp
@@ -33,6 +33,13 @@
 // Loans that would end sooner are not worth the messages.
 constexpr core::duration shortest_term = std::chrono::milliseconds(100);
 
+// Part of the pool's bucket that is lent as tokens without a rate, for the next requests of
+// borrowers with at least so many arrivals in a loan term; with fewer, many would not be used.
+constexpr double ahead_cap_fraction = 0.6;
+constexpr double smallest_ahead_arrivals = 6.0;
+// A borrower gets at most what arrives in this time.
+constexpr core::duration longest_ahead = std::chrono::seconds(1);
+
 struct grant
 {
     double rate = 0.0;
@@ -65,15 +72,41 @@
     return target > present * worthwhile_ratio || target * worthwhile_ratio < present;
 }
 
+// Lends what waiting requests lack, and some tokens for the next requests. These have no rate, so
+// none overflow, and what is left survives a renewal.
+grant token_grant(const account_limiter& state, const account_state& account,
+                  const fleet::loan_want& want, double part, const lent_generation& reserved)
+{
+    const share& own = account.pool.bucket;
+    // Enough for as many of the requests as possible; less than the last part would serve none.
+    const double whole =
+        std::max(0.0, want.tokens - std::max(0.0, std::ceil(want.tokens - own.tokens)));
+    const double served = std::ceil(want.tokens);
+    const double most = own.cap + reserved.cap;
+    const double arrivals = want.demand * core::to_seconds(state.options.loan_term);
+    double cap = std::min({account.pool.cap * ahead_cap_fraction * part,
+                           1.0 + want.demand * core::to_seconds(longest_ahead), most});
+    const bool runs = reserved.cap >= smallest_lent_cap;
+    if (state.stopping ||
+        (!runs && (arrivals < smallest_ahead_arrivals || cap < smallest_lent_cap)))
+    {
+        // The fractions that the borrower holds may be in the same loan.
+        return {.cap = whole > 0.0 ? std::max(whole, std::min(served, most)) : 0.0,
+                .tokens = whole,
+                .longest_term = token_loan_term};
+    }
+    cap = runs && !is_worthwhile(cap, reserved.cap) ? reserved.cap : cap;
+    cap = std::max(cap, std::min(served, most));
+    const double ahead = std::min(cap - served, (own.tokens - whole) / 2);
+    return {.cap = cap, .tokens = whole + std::max(0.0, ahead)};
+}
+
 grant pool_grant(const account_limiter& state, account_state& account, const fleet::loan_want& want,
                  const lent_generation& reserved, core::time_point now)
 {
     const share& own = account.pool.bucket;
     const double wanted = unmet(want.demand, account.seat.rate);
     const double part = part_of(state, account, wanted, now);
-    // Enough for as many of the requests as possible; less than the last part would serve none.
-    const double whole =
-        std::max(0.0, want.tokens - std::max(0.0, std::ceil(want.tokens - own.tokens)));
     double cap = std::min(account.pool.cap * lent_cap_fraction * part,
                           2.0 + wanted * core::to_seconds(longest_fill));
     double rate = lent_rate_fraction * std::min(wanted, account.pool.rate * part);
@@ -86,7 +119,7 @@
     }
     else if (cap < smallest_lent_cap || !is_significant(state, want.demand) || state.stopping)
     {
-        return {.cap = whole, .tokens = whole, .longest_term = token_loan_term};
+        return token_grant(state, account, want, part, reserved);
     }
     grant result{.rate = std::min(rate, own.rate + reserved.rate),
                  .cap = std::min(cap, own.cap + reserved.cap)};
@@ -98,7 +131,8 @@
     }
     const double first_fill = reserved.cap > 0.0 ? 0.0 : cap / 2;
     result.tokens = std::min(std::max(want.tokens, first_fill), own.tokens / 2);
-    result.tokens = std::min(result.cap, std::max(result.tokens, whole));
+    result.tokens =
+        std::min(result.cap, std::max(result.tokens, std::min(want.tokens, own.tokens)));
     return result;
 }
 
