Lend rates only to large accounts and larger batches of tokens

Cause: a rate loan of a middle account costs as many exchanges as tokens lent ahead, and its small bucket overflows. Change: a rate from 60 arrivals in 4 s (24 before); buckets of rate loans hold 1 s of arrivals (0.5 s); tokens ahead for 1.5 s from 0.85 of the pool's bucket (1 s, 0.6).

--- a/src/limits/capacity.cpp
+++ b/src/limits/capacity.cpp
@@ -11,7 +11,7 @@
 
 // Below this burst per process, fractions of seats would never add up to a whole request.
 constexpr double smallest_burst_per_vm = 2.0;
-constexpr double significant_arrivals = 24.0;
+constexpr double significant_arrivals = 60.0;
 
 double seat_fraction_of(const account_limiter& state, const config::account& account, double burst,
                         std::uint32_t max_vms)
--- a/src/limits/lending.cpp
+++ b/src/limits/lending.cpp
@@ -24,7 +24,7 @@
 // Renewals change a loan only beyond this ratio, either way.
 constexpr double worthwhile_ratio = 1.4;
 // A bucket holds at most what arrives in this time, and room for two requests more.
-constexpr core::duration longest_fill = std::chrono::milliseconds(500);
+constexpr core::duration longest_fill = std::chrono::seconds(1);
 // Tokens for requests that wait are spent on receipt, within the hold limit; the loan then ends
 // by itself without a message, and its cap is missing in the pool until then.
 constexpr core::duration token_loan_term = std::chrono::milliseconds(25);
@@ -35,10 +35,10 @@
 
 // Part of the pool's bucket that is lent as tokens without a rate, for the next requests of
 // borrowers with at least so many arrivals in a loan term; with fewer, many would not be used.
-constexpr double ahead_cap_fraction = 0.6;
+constexpr double ahead_cap_fraction = 0.85;
 constexpr double smallest_ahead_arrivals = 6.0;
 // A borrower gets at most what arrives in this time.
-constexpr core::duration longest_ahead = std::chrono::seconds(1);
+constexpr core::duration longest_ahead = std::chrono::milliseconds(1500);
 
 struct grant
 {
