Stop asking for loans while an account sends more than its rate

Cause: a greedy account asked for every request that found its bucket empty: 130 asks a second, and 39 refusals a second from peers without idle seats. Change: the holder lends 0.95 instead of 0.7 of the pool's rate when the demand of all borrowers is above 1.5 times that rate; a borrower whose demand stays above 1.6 times its shares' rate backs off (100 ms to 1.6 s) and refuses with retry-after from what it has; one other peer is asked at a time instead of 3.

--- a/src/limits/borrowing.cpp
+++ b/src/limits/borrowing.cpp
@@ -18,7 +18,10 @@
 constexpr core::duration adjustment_interval = std::chrono::seconds(1);
 // Between requests for tokens before any request waits.
 constexpr core::duration refill_interval = std::chrono::milliseconds(500);
-constexpr std::size_t parallel_peers = 3;
+constexpr std::size_t parallel_peers = 1;
+// A loan brings at least 0.7 of the need while the account is within its rate. With demand above
+// this many times the rate of all shares it is not, and asking again soon would bring nothing.
+constexpr double overload_ratio = 1.6;
 
 bool is_holder_usable(const account_limiter& state, const account_state& account,
                       core::time_point now)
@@ -187,6 +190,21 @@
     }
 }
 
+double supplied_rate(const account_state& account)
+{
+    double rate = account.seat.bucket.rate + account.pool.bucket.rate;
+    for (const borrowed_share& loan : account.borrowed)
+    {
+        rate += loan.live ? loan.bucket.rate : 0.0;
+    }
+    return rate;
+}
+
+bool is_overloaded(const account_limiter& state, const account_state& account, core::time_point now)
+{
+    return demand_now(state, account, now) > overload_ratio * supplied_rate(account);
+}
+
 void lengthen(const account_limiter& state, core::duration& backoff)
 {
     backoff = backoff == core::duration::zero()
@@ -264,7 +282,8 @@
                     .expires = expires};
     loan->live = true;
     const auto waiting = static_cast<double>(account->waiting.size());
-    if (usable_tokens(*account, now) < std::max(1.0, waiting))
+    if (usable_tokens(*account, now) < std::max(1.0, waiting) ||
+        (lent.rate > 0.0 && is_overloaded(state, *account, now)))
     {
         note_refusal(state, *account, lender, now);
     }
@@ -307,11 +326,7 @@
     }
     const double demand = demand_now(state, account, now);
     renew(state, account, demand, now);
-    double supply = account.seat.bucket.rate + account.pool.bucket.rate;
-    for (const borrowed_share& loan : account.borrowed)
-    {
-        supply += loan.live ? loan.bucket.rate : 0.0;
-    }
+    const double supply = supplied_rate(account);
     const bool is_low = now >= account.next_refill && runs_low(account, now);
     const bool wants_rate = is_significant(state, demand) && demand > demand_hysteresis * supply &&
                             now >= account.next_adjustment;
--- a/src/limits/lending.cpp
+++ b/src/limits/lending.cpp
@@ -19,6 +19,11 @@
 // Part of the needed rate that is lent. A borrower with less than it needs seldom has a full
 // bucket, which would waste tokens, and asks the holder for the rest as whole tokens.
 constexpr double lent_rate_fraction = 0.7;
+// Demand of all borrowers above this many times the pool's rate is more than noise of the averages:
+// the account sends more than its rate. Then every bucket runs empty, so that none overflows, and
+// nothing is kept back for later questions.
+constexpr double overload_ratio = 1.5;
+constexpr double overload_rate_fraction = 0.95;
 // Smaller buckets lose more to overflow than a rate of their own is worth.
 constexpr double smallest_lent_cap = 1.25;
 // Renewals change a loan only beyond this ratio, either way.
@@ -72,6 +77,18 @@
     return target > present * worthwhile_ratio || target * worthwhile_ratio < present;
 }
 
+bool is_frequent(const account_limiter& state, const fleet::loan_want& want)
+{
+    return want.demand * core::to_seconds(state.options.loan_term) >= smallest_ahead_arrivals;
+}
+
+// Demand is reported just after arrivals, so its sum over processes with few of them is too high.
+bool has_reliable_demand(const account_limiter& state, const fleet::loan_want& want)
+{
+    constexpr double fewest_arrivals = 24.0;
+    return want.demand * core::to_seconds(state.options.loan_term) >= fewest_arrivals;
+}
+
 // Lends what waiting requests lack, and some tokens for the next requests. These have no rate, so
 // none overflow, and what is left survives a renewal.
 grant token_grant(const account_limiter& state, const account_state& account,
@@ -83,12 +100,10 @@
         std::max(0.0, want.tokens - std::max(0.0, std::ceil(want.tokens - own.tokens)));
     const double served = std::ceil(want.tokens);
     const double most = own.cap + reserved.cap;
-    const double arrivals = want.demand * core::to_seconds(state.options.loan_term);
     double cap = std::min({account.pool.cap * ahead_cap_fraction * part,
                            1.0 + want.demand * core::to_seconds(longest_ahead), most});
     const bool runs = reserved.cap >= smallest_lent_cap;
-    if (state.stopping ||
-        (!runs && (arrivals < smallest_ahead_arrivals || cap < smallest_lent_cap)))
+    if (state.stopping || (!runs && (!is_frequent(state, want) || cap < smallest_lent_cap)))
     {
         // The fractions that the borrower holds may be in the same loan.
         return {.cap = whole > 0.0 ? std::max(whole, std::min(served, most)) : 0.0,
@@ -109,7 +124,9 @@
     const double part = part_of(state, account, wanted, now);
     double cap = std::min(account.pool.cap * lent_cap_fraction * part,
                           2.0 + wanted * core::to_seconds(longest_fill));
-    double rate = lent_rate_fraction * std::min(wanted, account.pool.rate * part);
+    const bool overloaded = wanted > overload_ratio * account.pool.rate * part;
+    double rate = (overloaded ? overload_rate_fraction : lent_rate_fraction) *
+                  std::min(wanted, account.pool.rate * part);
     if (reserved.rate > 0.0)
     {
         // What is lent stays reserved until its term ends, so a smaller loan frees nothing at once
@@ -117,7 +134,9 @@
         cap = is_worthwhile(cap, reserved.cap) ? cap : reserved.cap;
         rate = is_worthwhile(rate, reserved.rate) ? rate : reserved.rate;
     }
-    else if (cap < smallest_lent_cap || !is_significant(state, want.demand) || state.stopping)
+    else if (cap < smallest_lent_cap || state.stopping ||
+             !(is_significant(state, want.demand) ||
+               (overloaded && has_reliable_demand(state, want))))
     {
         return token_grant(state, account, want, part, reserved);
     }
