Round the numbers of loan messages for the packed encoding

Cause: random mantissas cost 8 bytes a number. Change: rates, caps, tokens and demands are multiples of 1/1024; what is lent is rounded down, what is asked for is rounded up.

--- a/src/limits/borrowing.cpp
+++ b/src/limits/borrowing.cpp
@@ -126,10 +126,11 @@
     ++loan->generation;
     loan->pending = true;
     loan->asked = now;
-    state.batches[lender].wants.push_back({.account = account.name,
-                                           .loan_id = loan_id(loan->chain, loan->generation),
-                                           .demand = demand_now(state, account, now),
-                                           .tokens = lacking(account, now) + room_in(*loan, now)});
+    state.batches[lender].wants.push_back(
+        {.account = account.name,
+         .loan_id = loan_id(loan->chain, loan->generation),
+         .demand = rounded_up(demand_now(state, account, now)),
+         .tokens = rounded_up(lacking(account, now) + room_in(*loan, now))});
 }
 
 void end_unanswered(account_limiter& state, account_state& account, core::time_point now)
--- a/src/limits/capacity.cpp
+++ b/src/limits/capacity.cpp
@@ -13,6 +13,8 @@
 constexpr double smallest_burst_per_vm = 2.0;
 constexpr double significant_arrivals = 60.0;
 
+constexpr double message_resolution = 1024.0;
+
 double seat_fraction_of(const account_limiter& state, const config::account& account, double burst,
                         std::uint32_t max_vms)
 {
@@ -136,6 +138,16 @@
 
 } // namespace
 
+double rounded_down(double value)
+{
+    return std::floor(value * message_resolution) / message_resolution;
+}
+
+double rounded_up(double value)
+{
+    return std::ceil(value * message_resolution) / message_resolution;
+}
+
 core::duration lender_term(const account_limiter_options& options, core::duration term)
 {
     return core::from_seconds(core::to_seconds(term) * (1.0 + options.clock_margin));
--- a/src/limits/capacity.hpp
+++ b/src/limits/capacity.hpp
@@ -23,6 +23,11 @@
     return static_cast<std::uint16_t>(id & 0xFFFFU);
 }
 
+/// Rounds a number in a message to a multiple of 1/1024. The packed encoding leaves out the zero
+/// bytes of the mantissa that remain. Thread safe.
+double rounded_down(double value);
+double rounded_up(double value);
+
 /// Returns `term` as the lender counts it, longer by the margin for clock rate. Thread safe.
 core::duration lender_term(const account_limiter_options& options, core::duration term);
 
--- a/src/limits/lending.cpp
+++ b/src/limits/lending.cpp
@@ -240,6 +240,9 @@
         given = from_pool ? pool_grant(state, *account, want, reserved, now)
                           : seat_grant(state, *account, want, reserved, now);
     }
+    given.rate = rounded_down(given.rate);
+    given.cap = rounded_down(given.cap);
+    given.tokens = rounded_down(given.tokens);
     if (given.cap <= 0.0)
     {
         std::erase_if(account->lent,
