Ask for more rate only when demand is well above it

Cause: a rate loan brings 0.7 of the need, so demand was always above 1.05 times the shares and a large account asked once a second. Change: 1.5 times; a loan is renewed with 0.2 instead of 0.3 of its term left, which is three attempts; the lent part of the need is 0.8.

--- a/src/limits/borrowing.cpp
+++ b/src/limits/borrowing.cpp
@@ -10,16 +10,17 @@
 namespace
 {
 
-// More rate is asked for when demand exceeds the shares by this factor.
-constexpr double demand_hysteresis = 1.05;
+// More rate is asked for when demand exceeds the shares by this factor, which is more than the part
+// of the need that a holder leaves to whole tokens.
+constexpr double demand_hysteresis = 1.5;
 // A loan is renewed when less than this part of its term is left: time for a lost message and a
 // second attempt.
-constexpr double renewal_part = 0.3;
+constexpr double renewal_part = 0.2;
 constexpr core::duration adjustment_interval = std::chrono::seconds(1);
 // Between requests for tokens before any request waits.
 constexpr core::duration refill_interval = std::chrono::milliseconds(500);
 constexpr std::size_t parallel_peers = 1;
-// A loan brings at least 0.7 of the need while the account is within its rate. With demand above
+// A loan brings at least 0.8 of the need while the account is within its rate. With demand above
 // this many times the rate of all shares it is not, and asking again soon would bring nothing.
 constexpr double overload_ratio = 1.6;
 
--- a/src/limits/lending.cpp
+++ b/src/limits/lending.cpp
@@ -18,7 +18,7 @@
 constexpr double lent_cap_fraction = 0.9;
 // Part of the needed rate that is lent. A borrower with less than it needs seldom has a full
 // bucket, which would waste tokens, and asks the holder for the rest as whole tokens.
-constexpr double lent_rate_fraction = 0.7;
+constexpr double lent_rate_fraction = 0.8;
 // Demand of all borrowers above this many times the pool's rate is more than noise of the averages:
 // the account sends more than its rate. Then every bucket runs empty, so that none overflows, and
 // nothing is kept back for later questions.
