--- a/test/correctness/limits/account_limiter_test.cpp
+++ b/test/correctness/limits/account_limiter_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace zinniaferry::limits
 {
 namespace
@@ -205,6 +207,86 @@
     EXPECT_EQ(try_admit(state, "a", 2, start + 90s, start + 61s).result, verdict::refused);
 }
 
+/// Carries out one tick with an immediate network and adds the loan requests sent to `asked`.
+std::uint64_t admitted_in_tick(pair_of_limiters& two, core::time_point now, std::uint64_t& asked)
+{
+    const auto requests = tick(two.borrower, two.borrower_hints, now, two.random);
+    asked += requests.size();
+    for (const fleet::outgoing& answer : two.to_lender(requests, now))
+    {
+        handle(two.borrower, two.lender_id, answer.body, now);
+    }
+    const auto ends = resolve_waiting(two.borrower, now);
+    return static_cast<std::uint64_t>(std::count_if(
+        ends.begin(), ends.end(),
+        [](const resolution& end) { return end.outcome.result == verdict::admitted; }));
+}
+
+// Guards against whole tokens that are borrowed while the fractions of the seat overflow.
+TEST(account_limiter, borrows_only_what_the_seat_lacks)
+{
+    config::configuration config = with_account(1, 8);
+    config.accounts[0].seat_fraction = 0.2;
+    pair_of_limiters two(config);
+    // The seat is full at 0.8 tokens, 8 s after it came into use.
+    const core::time_point now = ready + 20s;
+    tick(two.borrower, two.borrower_hints, now, two.random);
+    ASSERT_EQ(two.ask(1, now).result, verdict::wait);
+    const auto requests = flush(two.borrower, now, two.random);
+    ASSERT_EQ(requests.size(), 1U);
+    const auto* request = std::get_if<fleet::loan_request>(&requests[0].body);
+    ASSERT_NE(request, nullptr);
+    EXPECT_NEAR(request->wants.at(0).tokens, 0.2, 0.002);
+    const auto answers = two.to_lender(requests, now);
+    ASSERT_EQ(answers.size(), 1U);
+    handle(two.borrower, two.lender_id, answers[0].body, now);
+    const auto ends = resolve_waiting(two.borrower, now);
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].outcome.result, verdict::admitted);
+}
+
+// Guards against an exchange for each request of an account with a few requests a second.
+TEST(account_limiter, borrows_tokens_for_the_next_requests)
+{
+    pair_of_limiters two(with_account(10, 20, 20));
+    std::uint64_t asked = 0;
+    std::uint64_t arrived = 0;
+    std::uint64_t admitted = 0;
+    for (core::time_point now = ready; now < ready + 60s; now += 10ms)
+    {
+        if ((now - ready) % 250ms == 0ns)
+        {
+            ++arrived;
+            admitted += two.ask(arrived, now).result == verdict::admitted ? 1 : 0;
+        }
+        admitted += admitted_in_tick(two, now, asked);
+    }
+    EXPECT_EQ(admitted, arrived);
+    EXPECT_LT(asked, arrived / 2);
+}
+
+// Guards against messages for requests that are refused anyway, and capacity left unused.
+TEST(account_limiter, asks_seldom_for_an_account_above_its_rate)
+{
+    pair_of_limiters two(with_account(50, 50));
+    std::uint64_t asked = 0;
+    std::uint64_t admitted = 0;
+    std::uint64_t id = 0;
+    for (core::time_point now = ready; now < ready + 60s; now += 10ms)
+    {
+        // Four times the rate.
+        for (int i = 0; i < 2; ++i)
+        {
+            admitted += two.ask(++id, now).result == verdict::admitted ? 1 : 0;
+        }
+        admitted += admitted_in_tick(two, now, asked);
+    }
+    // The seat of the lender, a tenth of the rate, is not used here.
+    EXPECT_GT(admitted, 60U * 50 * 8 / 10);
+    // Two a second; at the start the loans grow with the demand.
+    EXPECT_LT(asked, 60U * 2);
+}
+
 // Guards against a lease that is given up while loans from its pool are in use.
 TEST(account_limiter, tells_until_when_a_pool_is_lent)
 {
