--- a/src/limits/borrowing.cpp
+++ b/src/limits/borrowing.cpp
@@ -10,15 +10,19 @@
 namespace
 {
 
-// More rate is asked for when demand exceeds the shares by this factor.
-constexpr double demand_hysteresis = 1.05;
+// More rate is asked for when demand exceeds the shares by this factor, which is more than the part
+// of the need that a holder leaves to whole tokens.
+constexpr double demand_hysteresis = 1.5;
 // A loan is renewed when less than this part of its term is left: time for a lost message and a
 // second attempt.
-constexpr double renewal_part = 0.3;
+constexpr double renewal_part = 0.2;
 constexpr core::duration adjustment_interval = std::chrono::seconds(1);
 // Between requests for tokens before any request waits.
 constexpr core::duration refill_interval = std::chrono::milliseconds(500);
-constexpr std::size_t parallel_peers = 3;
+constexpr std::size_t parallel_peers = 1;
+// A loan brings at least 0.8 of the need while the account is within its rate. With demand above
+// this many times the rate of all shares it is not, and asking again soon would bring nothing.
+constexpr double overload_ratio = 1.6;
 
 bool is_holder_usable(const account_limiter& state, const account_state& account,
                       core::time_point now)
@@ -68,6 +72,28 @@
     return loan.live && loan.bucket.rate > 0.0 ? loan.bucket.cap - loan.bucket.tokens : 0.0;
 }
 
+double usable_tokens(account_state& account, core::time_point now)
+{
+    double tokens = 0.0;
+    for (share* bucket : usable_shares(account))
+    {
+        advance(*bucket, now);
+        tokens += bucket->tokens;
+    }
+    return tokens;
+}
+
+// What the waiting requests lack beyond the fractions that this process has. A whole token for each
+// would leave these fractions unused until they overflow.
+double lacking(account_state& account, core::time_point now)
+{
+    // Sums of fractions must not stay below a whole token by rounding.
+    constexpr double rounding = 1e-6;
+    const auto waiting = static_cast<double>(account.waiting.size());
+    const double tokens = usable_tokens(account, now);
+    return tokens > rounding ? std::max(0.0, waiting - tokens + rounding) : waiting;
+}
+
 // Whether a process with a rate of its own is about to run out: asking before a request has to
 // wait costs the same messages and no waiting.
 bool runs_low(account_state& account, core::time_point now)
@@ -104,8 +130,8 @@
     state.batches[lender].wants.push_back(
         {.account = account.name,
          .loan_id = loan_id(loan->chain, loan->generation),
-         .demand = demand_now(state, account, now),
-         .tokens = static_cast<double>(account.waiting.size()) + room_in(*loan, now)});
+         .demand = rounded_up(demand_now(state, account, now)),
+         .tokens = rounded_up(lacking(account, now) + room_in(*loan, now))});
 }
 
 void end_unanswered(account_limiter& state, account_state& account, core::time_point now)
@@ -126,22 +152,6 @@
     }
 }
 
-void give_back_spent(account_limiter& state, account_state& account, core::time_point now)
-{
-    for (std::size_t i = account.borrowed.size(); i-- > 0;)
-    {
-        borrowed_share& loan = account.borrowed[i];
-        if (loan.live && !loan.pending && loan.bucket.rate <= 0.0)
-        {
-            advance(loan.bucket, now);
-            if (loan.bucket.tokens < 1.0)
-            {
-                give_back(state, account, i);
-            }
-        }
-    }
-}
-
 void renew(account_limiter& state, account_state& account, double wanted, core::time_point now)
 {
     if (wanted <= account.seat.bucket.rate)
@@ -182,6 +192,21 @@
     }
 }
 
+double supplied_rate(const account_state& account)
+{
+    double rate = account.seat.bucket.rate + account.pool.bucket.rate;
+    for (const borrowed_share& loan : account.borrowed)
+    {
+        rate += loan.live ? loan.bucket.rate : 0.0;
+    }
+    return rate;
+}
+
+bool is_overloaded(const account_limiter& state, const account_state& account, core::time_point now)
+{
+    return demand_now(state, account, now) > overload_ratio * supplied_rate(account);
+}
+
 void lengthen(const account_limiter& state, core::duration& backoff)
 {
     backoff = backoff == core::duration::zero()
@@ -258,7 +283,9 @@
                     .last = now,
                     .expires = expires};
     loan->live = true;
-    if (kept + lent.tokens < std::max(1.0, static_cast<double>(account->waiting.size())))
+    const auto waiting = static_cast<double>(account->waiting.size());
+    if (usable_tokens(*account, now) < std::max(1.0, waiting) ||
+        (lent.rate > 0.0 && is_overloaded(state, *account, now)))
     {
         note_refusal(state, *account, lender, now);
     }
@@ -295,18 +322,13 @@
 {
     refresh(state, account, now);
     end_unanswered(state, account, now);
-    give_back_spent(state, account, now);
     if (state.stopping || !state.options.way.lends || !account.configured)
     {
         return;
     }
     const double demand = demand_now(state, account, now);
     renew(state, account, demand, now);
-    double supply = account.seat.bucket.rate + account.pool.bucket.rate;
-    for (const borrowed_share& loan : account.borrowed)
-    {
-        supply += loan.live ? loan.bucket.rate : 0.0;
-    }
+    const double supply = supplied_rate(account);
     const bool is_low = now >= account.next_refill && runs_low(account, now);
     const bool wants_rate = is_significant(state, demand) && demand > demand_hysteresis * supply &&
                             now >= account.next_adjustment;
--- a/src/limits/capacity.cpp
+++ b/src/limits/capacity.cpp
@@ -11,7 +11,9 @@
 
 // Below this burst per process, fractions of seats would never add up to a whole request.
 constexpr double smallest_burst_per_vm = 2.0;
-constexpr double significant_arrivals = 12.0;
+constexpr double significant_arrivals = 60.0;
+
+constexpr double message_resolution = 1024.0;
 
 double seat_fraction_of(const account_limiter& state, const config::account& account, double burst,
                         std::uint32_t max_vms)
@@ -136,6 +138,16 @@
 
 } // namespace
 
+double rounded_down(double value)
+{
+    return std::floor(value * message_resolution) / message_resolution;
+}
+
+double rounded_up(double value)
+{
+    return std::ceil(value * message_resolution) / message_resolution;
+}
+
 core::duration lender_term(const account_limiter_options& options, core::duration term)
 {
     return core::from_seconds(core::to_seconds(term) * (1.0 + options.clock_margin));
@@ -199,8 +211,8 @@
 
 std::vector<share*> usable_shares(account_state& account)
 {
-    // Whole tokens come first, as they end within milliseconds. The seat comes before loans with a
-    // rate, since it overflows otherwise while the holder could have lent the tokens elsewhere.
+    // The seat comes first, since it overflows otherwise while the holder could have lent the
+    // tokens elsewhere; then loans in the order in which they end.
     std::vector<share*> shares;
     for (borrowed_share& loan : account.borrowed)
     {
@@ -211,9 +223,7 @@
     }
     std::sort(shares.begin(), shares.end(),
               [](const share* a, const share* b) { return a->expires < b->expires; });
-    const auto with_rate = std::stable_partition(
-        shares.begin(), shares.end(), [](const share* bucket) { return bucket->rate <= 0.0; });
-    shares.insert(with_rate, &account.seat.bucket);
+    shares.insert(shares.begin(), &account.seat.bucket);
     shares.push_back(&account.pool.bucket);
     return shares;
 }
--- a/src/limits/lending.cpp
+++ b/src/limits/lending.cpp
@@ -18,21 +18,33 @@
 constexpr double lent_cap_fraction = 0.9;
 // Part of the needed rate that is lent. A borrower with less than it needs seldom has a full
 // bucket, which would waste tokens, and asks the holder for the rest as whole tokens.
-constexpr double lent_rate_fraction = 0.7;
+constexpr double lent_rate_fraction = 0.8;
+// Demand of all borrowers above this many times the pool's rate is more than noise of the averages:
+// the account sends more than its rate. Then every bucket runs empty, so that none overflows, and
+// nothing is kept back for later questions.
+constexpr double overload_ratio = 1.5;
+constexpr double overload_rate_fraction = 0.95;
 // Smaller buckets lose more to overflow than a rate of their own is worth.
 constexpr double smallest_lent_cap = 1.25;
 // Renewals change a loan only beyond this ratio, either way.
 constexpr double worthwhile_ratio = 1.4;
 // A bucket holds at most what arrives in this time, and room for two requests more.
-constexpr core::duration longest_fill = std::chrono::milliseconds(500);
-// Tokens for requests that wait are spent on receipt, so their loan needs no longer term; it ends
-// by itself without a message.
-constexpr core::duration token_loan_term = std::chrono::milliseconds(50);
+constexpr core::duration longest_fill = std::chrono::seconds(1);
+// Tokens for requests that wait are spent on receipt, within the hold limit; the loan then ends
+// by itself without a message, and its cap is missing in the pool until then.
+constexpr core::duration token_loan_term = std::chrono::milliseconds(25);
 // Demand that was not reported again for this time counts as gone.
 constexpr core::duration demand_memory = 2 * longest_loan_term;
 // Loans that would end sooner are not worth the messages.
 constexpr core::duration shortest_term = std::chrono::milliseconds(100);
 
+// Part of the pool's bucket that is lent as tokens without a rate, for the next requests of
+// borrowers with at least so many arrivals in a loan term; with fewer, many would not be used.
+constexpr double ahead_cap_fraction = 0.85;
+constexpr double smallest_ahead_arrivals = 6.0;
+// A borrower gets at most what arrives in this time.
+constexpr core::duration longest_ahead = std::chrono::milliseconds(1500);
+
 struct grant
 {
     double rate = 0.0;
@@ -65,16 +77,56 @@
     return target > present * worthwhile_ratio || target * worthwhile_ratio < present;
 }
 
+bool is_frequent(const account_limiter& state, const fleet::loan_want& want)
+{
+    return want.demand * core::to_seconds(state.options.loan_term) >= smallest_ahead_arrivals;
+}
+
+// Demand is reported just after arrivals, so its sum over processes with few of them is too high.
+bool has_reliable_demand(const account_limiter& state, const fleet::loan_want& want)
+{
+    constexpr double fewest_arrivals = 24.0;
+    return want.demand * core::to_seconds(state.options.loan_term) >= fewest_arrivals;
+}
+
+// Lends what waiting requests lack, and some tokens for the next requests. These have no rate, so
+// none overflow, and what is left survives a renewal.
+grant token_grant(const account_limiter& state, const account_state& account,
+                  const fleet::loan_want& want, double part, const lent_generation& reserved)
+{
+    const share& own = account.pool.bucket;
+    // Enough for as many of the requests as possible; less than the last part would serve none.
+    const double whole =
+        std::max(0.0, want.tokens - std::max(0.0, std::ceil(want.tokens - own.tokens)));
+    const double served = std::ceil(want.tokens);
+    const double most = own.cap + reserved.cap;
+    double cap = std::min({account.pool.cap * ahead_cap_fraction * part,
+                           1.0 + want.demand * core::to_seconds(longest_ahead), most});
+    const bool runs = reserved.cap >= smallest_lent_cap;
+    if (state.stopping || (!runs && (!is_frequent(state, want) || cap < smallest_lent_cap)))
+    {
+        // The fractions that the borrower holds may be in the same loan.
+        return {.cap = whole > 0.0 ? std::max(whole, std::min(served, most)) : 0.0,
+                .tokens = whole,
+                .longest_term = token_loan_term};
+    }
+    cap = runs && !is_worthwhile(cap, reserved.cap) ? reserved.cap : cap;
+    cap = std::max(cap, std::min(served, most));
+    const double ahead = std::min(cap - served, (own.tokens - whole) / 2);
+    return {.cap = cap, .tokens = whole + std::max(0.0, ahead)};
+}
+
 grant pool_grant(const account_limiter& state, account_state& account, const fleet::loan_want& want,
                  const lent_generation& reserved, core::time_point now)
 {
     const share& own = account.pool.bucket;
     const double wanted = unmet(want.demand, account.seat.rate);
     const double part = part_of(state, account, wanted, now);
-    const double whole = std::min(std::floor(own.tokens), std::ceil(want.tokens));
     double cap = std::min(account.pool.cap * lent_cap_fraction * part,
                           2.0 + wanted * core::to_seconds(longest_fill));
-    double rate = lent_rate_fraction * std::min(wanted, account.pool.rate * part);
+    const bool overloaded = wanted > overload_ratio * account.pool.rate * part;
+    double rate = (overloaded ? overload_rate_fraction : lent_rate_fraction) *
+                  std::min(wanted, account.pool.rate * part);
     if (reserved.rate > 0.0)
     {
         // What is lent stays reserved until its term ends, so a smaller loan frees nothing at once
@@ -82,9 +134,11 @@
         cap = is_worthwhile(cap, reserved.cap) ? cap : reserved.cap;
         rate = is_worthwhile(rate, reserved.rate) ? rate : reserved.rate;
     }
-    else if (cap < smallest_lent_cap || !is_significant(state, want.demand) || state.stopping)
+    else if (cap < smallest_lent_cap || state.stopping ||
+             !(is_significant(state, want.demand) ||
+               (overloaded && has_reliable_demand(state, want))))
     {
-        return {.cap = whole, .tokens = whole, .longest_term = token_loan_term};
+        return token_grant(state, account, want, part, reserved);
     }
     grant result{.rate = std::min(rate, own.rate + reserved.rate),
                  .cap = std::min(cap, own.cap + reserved.cap)};
@@ -96,7 +150,8 @@
     }
     const double first_fill = reserved.cap > 0.0 ? 0.0 : cap / 2;
     result.tokens = std::min(std::max(want.tokens, first_fill), own.tokens / 2);
-    result.tokens = std::min(result.cap, std::max(result.tokens, whole));
+    result.tokens =
+        std::min(result.cap, std::max(result.tokens, std::min(want.tokens, own.tokens)));
     return result;
 }
 
@@ -185,6 +240,9 @@
         given = from_pool ? pool_grant(state, *account, want, reserved, now)
                           : seat_grant(state, *account, want, reserved, now);
     }
+    given.rate = rounded_down(given.rate);
+    given.cap = rounded_down(given.cap);
+    given.tokens = rounded_down(given.tokens);
     if (given.cap <= 0.0)
     {
         std::erase_if(account->lent,
