--- a/src/history/faults.cpp
+++ b/src/history/faults.cpp
@@ -174,6 +174,8 @@
     cut_ways(
         sim, [=](std::size_t a, std::size_t b) { return (inward ? b : a) == slot; },
         time_of(args[2]));
+    // A call to the service needs both ways.
+    cut_service(sim, slot, slot + 1, time_of(args[2]));
 }
 
 void disturb_network(simulation& sim, const arguments& args)
--- a/src/history/run.cpp
+++ b/src/history/run.cpp
@@ -179,7 +179,8 @@
     const auto sim = make_simulation({.seed = options.seed,
                                       .vms = vm_count(options),
                                       .way = options.way,
-                                      .inject = options.inject},
+                                      .inject = options.inject,
+                                      .tick = options.tick},
                                      start.configuration, start.keys, watcher);
     begin(watcher, *sim);
     const core::time_point end = beginning + options.length;
--- a/src/history/run.hpp
+++ b/src/history/run.hpp
@@ -19,6 +19,7 @@
     limits::strategy way = limits::seats_pool_and_loans;
     injection inject = injection::none;
     double part_of_rate = 0.6;
+    core::duration tick = node::tick_interval;        ///< Of the processes.
     core::duration length = std::chrono::seconds(75); ///< Until the callers stop.
     /// Time without faults at the beginning: leases and permits need 15 s after a cold start of
     /// the whole fleet, and voters one idempotency window.
--- a/src/history/simulation.cpp
+++ b/src/history/simulation.cpp
@@ -123,7 +123,7 @@
             note_ready(*sim.watcher, sim, slot);
         }
     }
-    const core::time_point next = std::max(sim.queue.now + node::tick_interval, at.paused_until);
+    const core::time_point next = std::max(sim.queue.now + sim.options.tick, at.paused_until);
     schedule(sim.queue, next, [&sim, slot, incarnation] { run_tick_loop(sim, slot, incarnation); });
 }
 
@@ -285,7 +285,7 @@
     note_vm_list(sim);
     note_start(*sim.watcher, sim, slot);
     // The processes of a fleet do not tick in step.
-    schedule(sim.queue, sim.queue.now + draw(sim.random, node::tick_interval),
+    schedule(sim.queue, sim.queue.now + draw(sim.random, sim.options.tick),
              [&sim, slot, incarnation = at.incarnation]
              {
                  run_list_loop(sim, slot, incarnation);
--- a/src/history/simulation.hpp
+++ b/src/history/simulation.hpp
@@ -115,6 +115,7 @@
     std::size_t vms = 17;
     limits::strategy way = limits::seats_pool_and_loans;
     injection inject = injection::none;
+    core::duration tick = node::tick_interval;
 };
 
 struct simulation
--- a/src/history/trace.cpp
+++ b/src/history/trace.cpp
@@ -11,7 +11,8 @@
 namespace
 {
 
-constexpr double longest_run = 7200; ///< Seconds.
+constexpr double longest_run = 7200;    ///< Seconds.
+constexpr double longest_tick_ms = 200; ///< Less than what counts as a pause.
 constexpr double largest_seed = 9e15;
 
 /// Counters that exist without a name of a fault, refusal, account or key in them.
@@ -157,6 +158,12 @@
         BOOST_LEAF_ASSIGN(options.part_of_rate, read_bounded(reader, 1, 0.001, 20, false));
         return {};
     }
+    if (name == "tick_ms")
+    {
+        BOOST_LEAF_AUTO(value, read_bounded(reader, 1, 1, longest_tick_ms, true));
+        options.tick = std::chrono::milliseconds(static_cast<std::int64_t>(value));
+        return {};
+    }
     BOOST_LEAF_AUTO(value, read_bounded(reader, 1, 1, longest_run, false));
     options.length = core::from_seconds(value);
     return {};
@@ -268,8 +275,8 @@
 
 core::result<void> read_line(line_reader& reader)
 {
-    constexpr std::array<std::string_view, 6> settings = {"deployment", "seed",         "vms",
-                                                          "strategy",   "part_of_rate", "length"};
+    constexpr std::array<std::string_view, 7> settings = {
+        "tick_ms", "deployment", "seed", "vms", "strategy", "part_of_rate", "length"};
     const std::string& first = reader.words[0];
     if (!reader.start && first != "deployment")
     {
