Refuse keyed requests at a process that cannot pull a version it has heard of

Cause: a process whose messages are lost still hears heartbeats of a majority, so it is not isolated; it knows of the version that withdraws a key but cannot ask for it. Change: a process that lacks a version it has heard of for 2 s, and that it did not refuse, answers keyed requests as isolated.

--- a/src/fleet/config_spread.cpp
+++ b/src/fleet/config_spread.cpp
@@ -138,6 +138,11 @@
     return all_answered || now - state.boot_reference >= state.options.boot_window;
 }
 
+bool is_behind(const config_spread& state, core::time_point now)
+{
+    return state.behind_since && now - *state.behind_since > state.options.behind_limit;
+}
+
 bool wants_watch(const config_spread& state, const std::vector<std::string>& alive_vms)
 {
     static constexpr std::string_view ranking = "configuration watch";
@@ -300,12 +305,16 @@
     }
     std::erase_if(state.peers, [&](const auto& entry)
                   { return now - entry.second.heard > peer_version_memory; });
-    if (state.pull)
-    {
-        return {};
-    }
     const std::vector<std::string> candidates = pull_candidates(state, now);
     if (candidates.empty())
+    {
+        state.behind_since.reset();
+    }
+    else if (!state.behind_since)
+    {
+        state.behind_since = now;
+    }
+    if (state.pull || candidates.empty())
     {
         return {};
     }
--- a/src/fleet/config_spread.hpp
+++ b/src/fleet/config_spread.hpp
@@ -52,6 +52,9 @@
     core::duration call_timeout = std::chrono::seconds(3); ///< Without an answer, a call failed.
     core::duration boot_window = std::chrono::seconds(3);
     core::duration pull_timeout = std::chrono::milliseconds(500);
+    /// A process that lacks a version it has heard of for longer counts as cut off: it hears its
+    /// peers, but what it sends does not reach them.
+    core::duration behind_limit = std::chrono::seconds(2);
     core::duration refusal_memory = std::chrono::seconds(60); ///< No new pull of a refused version.
     std::size_t history_versions = 64;
     std::size_t history_bytes = std::size_t{8} << 20U;
@@ -162,8 +165,9 @@
     std::map<std::string, peer_version> peers;
     std::deque<config_refusal> refusals; ///< The newest last.
     std::optional<config_pull> pull;
-    std::string failed_peer; ///< Did not answer the last pull.
-    bool pull_whole = false; ///< A delta failed; ask for the whole document.
+    std::string failed_peer;                      ///< Did not answer the last pull.
+    std::optional<core::time_point> behind_since; ///< A peer has a higher version; not refused.
+    bool pull_whole = false;                      ///< A delta failed; ask for the whole document.
 
     bool ready = false;
     bool list_known = false;
@@ -204,6 +208,10 @@
 /// all listed peers answered or `boot_window` has passed with at least one answer. Stays true.
 bool is_ready(const config_spread& state, core::time_point now);
 
+/// Tells whether a peer has stated a version above the one in force for longer than
+/// `behind_limit`, and it was not refused. A key may have been withdrawn with it.
+bool is_behind(const config_spread& state, core::time_point now);
+
 /// Tells whether this process is among the `watchers` of the alive members. `alive_vms` is without
 /// the own VM.
 bool wants_watch(const config_spread& state, const std::vector<std::string>& alive_vms);
--- a/src/node/request_flow.cpp
+++ b/src/node/request_flow.cpp
@@ -437,7 +437,7 @@
     {
         return std::nullopt;
     }
-    if (fleet::is_isolated(state.membership, now))
+    if (fleet::is_isolated(state.membership, now) || fleet::is_behind(state.spread, now))
     {
         return request_error::isolated;
     }
--- a/test/correctness/fleet/config_spread_test.cpp
+++ b/test/correctness/fleet/config_spread_test.cpp
@@ -70,6 +70,25 @@
     }
 }
 
+// Guards R4: a process that hears its peers and is not heard by them serves withdrawn keys, because
+// it is not isolated and cannot pull the version.
+TEST(config_spread, process_that_cannot_pull_a_version_is_behind)
+{
+    config_spread state = make_spread();
+    core::random_generator random(1);
+    core::time_point now = start;
+    handle(state, {"vm1", 1}, heartbeat{.config_version = 2}, now);
+    for (; now <= start + 2s; now += 10ms)
+    {
+        tick(state, now, random);
+        EXPECT_FALSE(is_behind(state, now));
+    }
+    EXPECT_TRUE(is_behind(state, now));
+    service_replied(state, "2\nx\n", now);
+    tick(state, now, random);
+    EXPECT_FALSE(is_behind(state, now));
+}
+
 // Guards R11 over random faults: the version in force of a process is never lowered.
 TEST(config_spread, version_is_never_lowered)
 {
