--- a/bench/added_latency.sh
+++ b/bench/added_latency.sh
@@ -70,16 +70,19 @@
     "$build/bin/zinnia_load" --target "$1" --mix "$bench_folder/mix.json" --rate "$2" --duration "$3" --seed "$4" --json
 }
 
-# TARGETS RATE SEED: prints "ANSWERED SENT P50 P99 PROCESSOR" of a run that follows a short one without figures, which
-# opens connections. PROCESSOR is what the daemon used meanwhile, in seconds.
+# TARGETS RATE SEED: prints "ANSWERED SENT P50 P99 PROCESSOR WAITED" of a run that follows a short one without figures, which
+# opens connections. PROCESSOR is what the daemon used meanwhile, in seconds. WAITED is the part of the time in which it
+# was ready to run but had no processor, in percent: on a shared machine that delay is not the daemon's own.
 measure() {
-    local before after report
+    local before after waited_before waited_after report
     run_load "$1" "$2" 0.5 "$3" >/dev/null
     before=$(processor_seconds "$daemon")
+    waited_before=$(cut -d' ' -f2 "/proc/$daemon/schedstat")
     report=$(run_load "$1" "$2" "$seconds" "$3")
     after=$(processor_seconds "$daemon")
+    waited_after=$(cut -d' ' -f2 "/proc/$daemon/schedstat")
     echo "$(number_in "$report" answered) $(number_in "$report" sent) $(number_in "$report" p50)" \
-        "$(number_in "$report" p99) $(awk "BEGIN { print $after - $before }")"
+        "$(number_in "$report" p99) $(awk "BEGIN { print $after - $before, ($waited_after - $waited_before) / 1e7 / $seconds }")"
 }
 
 # ANSWERED SENT P50: a rate holds when 999 in 1,000 requests are answered and no queue grows: then the median would be
@@ -87,23 +90,25 @@
 holds() { awk -v answered="$1" -v sent="$2" -v p50="$3" 'BEGIN { exit !(answered >= 0.999 * sent && p50 < 5) }'; }
 
 measure_rate() { # RATE
-    local round answered sent p50 p99 processor direct50 direct99 values=$bench_folder name=added_latency/$1
+    local round answered sent p50 p99 processor waited direct50 direct99 values=$bench_folder name=added_latency/$1
     rm -f "$values"/*.values
     for ((round = 1; round <= repeats; round++)); do
-        read -r answered sent direct50 direct99 processor < <(measure "$direct_targets" "$1" "$round")
-        read -r answered sent p50 p99 processor < <(measure $ip:$callers "$1" "$round")
+        read -r answered sent direct50 direct99 processor waited < <(measure "$direct_targets" "$1" "$round")
+        read -r answered sent p50 p99 processor waited < <(measure $ip:$callers "$1" "$round")
         note "$1 requests/s, round $round of $repeats, load average $(load_average):" \
-            "direct p50 $direct50 p99 $direct99 ms, through p50 $p50 p99 $p99 ms, $answered of $sent answered"
+            "direct p50 $direct50 p99 $direct99 ms, through p50 $p50 p99 $p99 ms, $answered of $sent answered, daemon waited $waited% for a processor"
         echo "$direct50" >>"$values/direct50.values"
         echo "$direct99" >>"$values/direct99.values"
         awk "BEGIN { print $p50 - $direct50 }" >>"$values/added50.values"
         awk "BEGIN { print $p99 - $direct99 }" >>"$values/added99.values"
         awk "BEGIN { print $answered / ($processor > 0 ? $processor : 0.01) }" >>"$values/per_core.values"
+        echo "$waited" >>"$values/waited.values"
         awk "BEGIN { print $sent - $answered }" >>"$values/unanswered.values"
     done
     print_result "$name/p50" "$(median <"$values/added50.values")" ms null "$(median <"$values/direct50.values")"
     print_result "$name/p99" "$(median <"$values/added99.values")" ms $bound_ms "$(median <"$values/direct99.values")"
     print_result "$name/requests_per_core_second" "$(median <"$values/per_core.values")" 1/s null null
+    print_result "$name/daemon_waited_for_processor" "$(median <"$values/waited.values")" % null null
     # Latency of answers says nothing if requests were refused, so none may be.
     print_result "$name/unanswered" "$(largest <"$values/unanswered.values")" requests 0 null
 }
