Ask only a majority for claim records while no voter answers

Cause: after the first round each process without voters asked all peers, so the cost of a young fleet grew with twice the fleet. Change: the later rounds ask a majority and a few more, chosen anew each time, until a voter answers.

--- a/src/fleet/claim_records.cpp
+++ b/src/fleet/claim_records.cpp
@@ -164,11 +164,13 @@
                        { return entry.second.done || entry.second.next != 0; });
 }
 
-// The first time a majority and a few more are asked, later all that have not finished.
+// A majority and a few more are asked until a voter answers, another random choice each time; after
+// that all that have not finished.
 std::vector<outgoing> ask_for_pages(claims& state, core::time_point now,
                                     core::random_generator& random)
 {
     const bool first = state.copy_round == 0;
+    const bool voters_heard = hears_voters(state);
     while (state.copy_round == 0)
     {
         state.copy_round = random();
@@ -182,7 +184,7 @@
         }
     }
     std::shuffle(vms.begin(), vms.end(), random);
-    if (first)
+    if (!voters_heard)
     {
         vms.resize(
             std::min<std::size_t>(vms.size(), majority_of(state.options.max_vms) + spare_sources));
@@ -194,7 +196,7 @@
         out.push_back({std::move(vm), request});
     }
     // With a voter in sight the rounds are repeats of lost messages and must be quick.
-    state.copy_wait = first || hears_voters(state)
+    state.copy_wait = first || voters_heard
                           ? state.options.copy_timeout
                           : std::min(2 * state.copy_wait, state.options.longest_copy_wait);
     state.copy_asked = now;
