--- a/Makefile
+++ b/Makefile
@@ -33,4 +33,4 @@
 	$(MAKE) test BUILD=build-sanitize SANITIZE=ON
 
 clean:
-	cmake -E rm -rf build build-sanitize
+	cmake -E rm -rf build build-sanitize build-fuzz
--- a/test/fuzz/trace.cpp
+++ b/test/fuzz/trace.cpp
@@ -1,7 +1,7 @@
-// Fuzzes the reader of recorded traces. Guards against text that crashes it, and against an accepted
-// expectation that the replay could not judge.
-#include "fuzz/fuzz_target.hpp"
+// Fuzzes the reader of recorded traces. Guards against text that crashes it, and against an
+// accepted expectation that the replay could not judge.
 #include "history/trace.hpp"
+#include "fuzz/fuzz_target.hpp"
 
 using namespace zinniaferry;
 
