Ask peers without idle seats more rarely, and test a greedy fleet

Cause: peers without idle seats were asked every 1.6 s; the back-off of an overloaded borrower was covered by no test (a trial without it passed). Change: the back-off towards peers grows to 6.4 s; tokens ahead use 0.75 of the pool's bucket instead of 0.85; a test bounds the bytes of a fleet with a greedy account by its eighth of 2,048 B/s.

--- a/src/limits/borrowing.cpp
+++ b/src/limits/borrowing.cpp
@@ -20,6 +20,8 @@
 // Between requests for tokens before any request waits.
 constexpr core::duration refill_interval = std::chrono::milliseconds(500);
 constexpr std::size_t parallel_peers = 1;
+// Idle seats of peers change more slowly than the pool's tokens.
+constexpr core::duration longest_peer_backoff = std::chrono::milliseconds(6400);
 // A loan brings at least 0.8 of the need while the account is within its rate. With demand above
 // this many times the rate of all shares it is not, and asking again soon would bring nothing.
 constexpr double overload_ratio = 1.6;
@@ -207,11 +209,10 @@
     return demand_now(state, account, now) > overload_ratio * supplied_rate(account);
 }
 
-void lengthen(const account_limiter& state, core::duration& backoff)
+void lengthen(const account_limiter& state, core::duration& backoff, core::duration longest)
 {
-    backoff = backoff == core::duration::zero()
-                  ? state.options.first_backoff
-                  : std::min(2 * backoff, state.options.longest_backoff);
+    backoff = backoff == core::duration::zero() ? state.options.first_backoff
+                                                : std::min(2 * backoff, longest);
 }
 
 void note_refusal(account_limiter& state, account_state& account, const std::string& lender,
@@ -219,12 +220,12 @@
 {
     if (lender == account.holder)
     {
-        lengthen(state, account.holder_backoff);
+        lengthen(state, account.holder_backoff, state.options.longest_backoff);
         account.holder_refused_until = now + account.holder_backoff;
     }
     else if (std::none_of(account.borrowed.begin(), account.borrowed.end(), is_pending))
     {
-        lengthen(state, account.peer_backoff);
+        lengthen(state, account.peer_backoff, longest_peer_backoff);
         account.no_loan_until = now + account.peer_backoff;
     }
 }
--- a/src/limits/lending.cpp
+++ b/src/limits/lending.cpp
@@ -40,7 +40,7 @@
 
 // Part of the pool's bucket that is lent as tokens without a rate, for the next requests of
 // borrowers with at least so many arrivals in a loan term; with fewer, many would not be used.
-constexpr double ahead_cap_fraction = 0.85;
+constexpr double ahead_cap_fraction = 0.75;
 constexpr double smallest_ahead_arrivals = 6.0;
 // A borrower gets at most what arrives in this time.
 constexpr core::duration longest_ahead = std::chrono::milliseconds(1500);
--- a/test/correctness/limits/account_limiter_test.cpp
+++ b/test/correctness/limits/account_limiter_test.cpp
@@ -1,8 +1,9 @@
-#include "limits/account_limiter.hpp"
+#include "limits/virtual_fleet.hpp"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <numeric>
 
 namespace zinniaferry::limits
 {
@@ -287,6 +288,36 @@
     EXPECT_LT(asked, 60U * 2);
 }
 
+// Guards against messages for each refused request when all processes ask the holder for a rate
+// that is used up.
+TEST(account_limiter, fleet_asks_seldom_for_an_account_above_its_rate)
+{
+    constexpr std::size_t processes = 6;
+    virtual_fleet fleet = make_virtual_fleet(processes, {}, {}, with_account(200, 200, 6), 20261);
+    std::uint64_t admitted = 0;
+    fleet.on_end = [&](const request_end& end)
+    {
+        admitted += end.admitted && end.at >= core::time_point(40s) ? 1 : 0;
+    };
+    std::uint64_t id = 0;
+    for (core::time_point at{20s}; at < core::time_point(100s); at += 1ms)
+    {
+        arrive(fleet, fleet.random() % processes, "a", ++id, at);
+    }
+    const auto bytes_sent = [&]
+    {
+        return std::accumulate(fleet.processes.begin(), fleet.processes.end(), std::uint64_t{0},
+                               [](std::uint64_t sum, const virtual_process& process)
+                               { return sum + process.bytes_sent; });
+    };
+    run_until(fleet, core::time_point(40s));
+    const std::uint64_t before = bytes_sent();
+    run_until(fleet, core::time_point(100s));
+    EXPECT_GT(admitted, 60U * 200 * 9 / 10);
+    // The budget of 2,048 B/s, divided by the 8 accounts of a deployment.
+    EXPECT_LT(bytes_sent() - before, 60U * processes * 2048 / 8);
+}
+
 // Guards against a lease that is given up while loans from its pool are in use.
 TEST(account_limiter, tells_until_when_a_pool_is_lent)
 {
