Check a key again before the first byte of a waiting request leaves

Cause: the key is checked when a request arrives. A process that is cut off counts as isolated after 4 s, and a request with a deadline of 3 s that arrived before then ran 6.5 s after the withdrawal. Change: bytes_leaving refuses a request whose process is isolated, or whose key is no longer valid in the version in force; the key is looked up again only when the version has changed.

--- a/src/node/decider.hpp
+++ b/src/node/decider.hpp
@@ -60,7 +60,9 @@
 struct request_record
 {
     request::request_life life;
-    std::string account; ///< Empty on an open route without a key.
+    std::string account;               ///< Empty on an open route without a key.
+    std::string presented_key;         ///< Checked again before the first byte leaves.
+    std::uint64_t checked_version = 0; ///< In force when the key was checked last.
     routing::service_index service = routing::no_service;
     config::request_class priority = config::request_class::lookup;
     bool idempotent = false;
--- a/src/node/dispatching.cpp
+++ b/src/node/dispatching.cpp
@@ -261,6 +261,26 @@
     enqueue(state, id, record, now, actions);
 }
 
+// A request may wait up to its deadline after its key was checked. With the time until a process
+// counts as isolated that is longer than the 5 s after which a withdrawn key must not work.
+bool is_key_still_valid(const decider& state, request_record& record, core::time_point now)
+{
+    if (record.account.empty())
+    {
+        return true;
+    }
+    if (fleet::is_isolated(state.membership, now) || fleet::is_behind(state.spread, now))
+    {
+        return false;
+    }
+    if (record.checked_version != state.applied_version)
+    {
+        record.checked_version = state.applied_version;
+        return account_of_key(state, record.presented_key) == record.account;
+    }
+    return true;
+}
+
 } // namespace
 
 void dispatch_service(decider& state, routing::service_index service, core::time_point now,
@@ -289,6 +309,10 @@
     {
         return false;
     }
+    if (!is_key_still_valid(state, *record, now))
+    {
+        return false;
+    }
     if (record->claim != 0 && !fleet::start_forwarding(state.claims, record->claim, now))
     {
         return false;
--- a/src/node/request_flow.cpp
+++ b/src/node/request_flow.cpp
@@ -84,6 +84,8 @@
         return request_error::isolated;
     }
     record.account = account_of_key(state, request.presented_key);
+    record.presented_key = request.presented_key;
+    record.checked_version = state.applied_version;
     return record.account.empty() ? std::optional(request_error::unknown_key) : std::nullopt;
 }
 
