--- a/apps/zinniaferry.cpp
+++ b/apps/zinniaferry.cpp
@@ -26,7 +26,7 @@
         std::printf("%s: valid settings for VM %s\n", file.c_str(), settings.vm.c_str());
         return 0;
     }
-    net::configure_logs(settings.level, settings.format);
+    net::configure_logs(settings.level, settings.format, settings.sink);
     BOOST_LEAF_CHECK(net::run_daemon(settings));
     return 0;
 }
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -11,12 +11,14 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 12> fields{
-    "vm",       "data_centre", "region",           "listen",    "admin_listen", "peer_listen",
-    "platform", "peer_secret", "admin_credential", "log_level", "log_format",   "stop_grace_ms"};
+constexpr std::array<std::string_view, 13> fields{
+    "vm",          "data_centre", "region",       "listen",           "admin_listen",
+    "peer_listen", "platform",    "peer_secret",  "admin_credential", "log_level",
+    "log_format",  "log_sink",    "stop_grace_ms"};
 
 constexpr std::array<std::string_view, 4> level_names{"debug", "info", "warning", "error"};
 constexpr std::array<std::string_view, 2> format_names{"text", "json"};
+constexpr std::array<std::string_view, 2> sink_names{"stderr", "syslog"};
 
 template <class Enum>
 core::result<void> read_enum(const object_reader& reader, std::string_view member,
@@ -76,6 +78,7 @@
                                  out.admin_credential));
     BOOST_LEAF_CHECK(read_enum(reader, "log_level", level_names, out.level));
     BOOST_LEAF_CHECK(read_enum(reader, "log_format", format_names, out.format));
+    BOOST_LEAF_CHECK(read_enum(reader, "log_sink", sink_names, out.sink));
     BOOST_LEAF_CHECK(read_milliseconds(reader, "stop_grace_ms", presence::optional,
                                        {.low = core::duration(0), .high = max_stop_grace},
                                        out.stop_grace));
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -32,6 +32,13 @@
     json
 };
 
+/// Where logs go. There is no file: VMs have no disks.
+enum class log_sink
+{
+    standard_error,
+    syslog
+};
+
 struct settings
 {
     std::string vm;
@@ -45,6 +52,7 @@
     std::string admin_credential; ///< Bearer credential of the admin listener.
     log_level level = log_level::info;
     log_format format = log_format::text;
+    log_sink sink = log_sink::standard_error;
     core::duration stop_grace = std::chrono::seconds(5);
 
     bool operator==(const settings&) const = default;
--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -17,7 +17,7 @@
 
 using boost::system::error_code;
 
-constexpr std::size_t read_chunk_bytes = 8 * 1024;
+constexpr std::size_t read_chunk_bytes = 8UL * 1024UL;
 
 auto into(error_code& error)
 {
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 #include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/stdout_color_sinks.h>
+#include <spdlog/sinks/syslog_sink.h>
 
 namespace zinniaferry::net
 {
@@ -43,16 +44,27 @@
     return spdlog::level::info;
 }
 
-spdlog::sink_ptr shared_sink()
+spdlog::sink_ptr make_sink(config::log_sink kind)
 {
-    static const spdlog::sink_ptr sink = std::make_shared<spdlog::sinks::stderr_color_sink_mt>();
+    if (kind == config::log_sink::syslog)
+    {
+        return std::make_shared<spdlog::sinks::syslog_sink_mt>("zinniaferry", LOG_PID, LOG_DAEMON,
+                                                               true);
+    }
+    return std::make_shared<spdlog::sinks::stderr_color_sink_mt>();
+}
+
+spdlog::sink_ptr& shared_sink()
+{
+    static spdlog::sink_ptr sink = make_sink(config::log_sink::standard_error);
     return sink;
 }
 
 } // namespace
 
-void configure_logs(config::log_level level, config::log_format format)
+void configure_logs(config::log_level level, config::log_format format, config::log_sink sink)
 {
+    shared_sink() = make_sink(sink);
     auto formatter = std::make_unique<spdlog::pattern_formatter>(spdlog::pattern_time_type::utc);
     if (format == config::log_format::json)
     {
--- a/src/net/log.hpp
+++ b/src/net/log.hpp
@@ -10,9 +10,9 @@
 namespace zinniaferry::net
 {
 
-/// Sets the level and the format (text, or JSON lines) of all parts. To be called once, before
-/// any thread logs.
-void configure_logs(config::log_level level, config::log_format format);
+/// Sets the level, the format (text, or JSON lines) and the sink of all parts. To be called once,
+/// before the first call of part_log.
+void configure_logs(config::log_level level, config::log_format format, config::log_sink sink);
 
 /// Returns the logger of a part such as "peers". Thread safe.
 std::shared_ptr<spdlog::logger> part_log(const char* part);
--- a/src/net/process_lifecycle.cpp
+++ b/src/net/process_lifecycle.cpp
@@ -12,7 +12,6 @@
 {
 
 namespace msm = boost::msm;
-using msm::front::none;
 using msm::front::Row;
 
 struct became_ready
--- a/test/correctness/config/config_test.cpp
+++ b/test/correctness/config/config_test.cpp
@@ -175,12 +175,15 @@
     EXPECT_EQ(read_settings(required + "}", "test").value(), expected);
     expected.level = log_level::warning;
     expected.format = log_format::json;
+    expected.sink = log_sink::syslog;
     expected.stop_grace = std::chrono::milliseconds(250);
-    EXPECT_EQ(read_settings(required + R"(, "log_level": "warning", "log_format": "json",
+    EXPECT_EQ(
+        read_settings(required +
+                          R"(, "log_level": "warning", "log_format": "json", "log_sink": "syslog",
                                           "stop_grace_ms": 250})",
-                            "test")
-                  .value(),
-              expected);
+                      "test")
+            .value(),
+        expected);
 }
 
 // Guards against a published document that gives a key away.
--- a/test/error/config/config_error_test.cpp
+++ b/test/error/config/config_error_test.cpp
@@ -158,6 +158,7 @@
     {"secret-of-the-admin", "secret-of-the\\nadmin", "$.admin_credential"},
     {"\"info\"", "\"loud\"", "$.log_level"},
     {"\"text\"", "7", "$.log_format"},
+    {"\"text\"", "\"text\",\"log_sink\":\"file\"", "$.log_sink"},
     {"\"stop_grace_ms\":1", "\"stop_grace_ms\":600001", "$.stop_grace_ms"},
     {"\"stop_grace_ms\":1", "\"stop_grace_ms\":-1", "$.stop_grace_ms"},
 };
