--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -1,6 +1,5 @@
 #!/usr/bin/env bash
-# Runs clang-tidy over all C++ sources that are not generated. A content hash per file skips unchanged results
-# only through the compiler cache, so the verdict depends on the tree alone.
+# Runs clang-tidy over all C++ sources of the library, the programs and the benchmarks.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
