Name the reason when a request is refused because its key was withdrawn while it waited

Cause: the check before the first byte reported claim_undecided with 503 for a withdrawn key. Change: unknown_key (401) or isolated (503), still not_run.

--- a/src/node/decider.hpp
+++ b/src/node/decider.hpp
@@ -23,6 +23,7 @@
 
 #include <array>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -76,6 +77,7 @@
     std::optional<std::uint64_t> permit;
     std::uint64_t claim = 0;
     std::uint32_t connect_failures = 0;
+    std::optional<request_error> refused_before_sending; ///< By the last check of the key.
 };
 
 struct account_counters
--- a/src/node/dispatching.cpp
+++ b/src/node/dispatching.cpp
@@ -272,7 +272,8 @@
     if (gives_up(state, record, result))
     {
         apply(state, record, request_event::refuse, now);
-        refuse(state, id, error_of(result), shed_retry_after, now, actions);
+        refuse(state, id, record.refused_before_sending.value_or(error_of(result)),
+               shed_retry_after, now, actions);
         return;
     }
     ++state.counters.retries;
@@ -281,22 +282,24 @@
 
 // A request may wait up to its deadline after its key was checked. With the time until a process
 // counts as isolated that is longer than the 5 s after which a withdrawn key must not work.
-bool is_key_still_valid(const decider& state, request_record& record, core::time_point now)
+std::optional<request_error> recheck_key(const decider& state, request_record& record,
+                                         core::time_point now)
 {
     if (record.account.empty())
     {
-        return true;
+        return std::nullopt;
     }
     if (fleet::is_isolated(state.membership, now) || fleet::is_behind(state.spread, now))
     {
-        return false;
+        return request_error::isolated;
     }
-    if (record.checked_version != state.applied_version)
+    if (record.checked_version == state.applied_version)
     {
-        record.checked_version = state.applied_version;
-        return account_of_key(state, record.presented_key) == record.account;
+        return std::nullopt;
     }
-    return true;
+    record.checked_version = state.applied_version;
+    const bool valid = account_of_key(state, record.presented_key) == record.account;
+    return valid ? std::nullopt : std::optional(request_error::unknown_key);
 }
 
 } // namespace
@@ -327,7 +330,8 @@
     {
         return false;
     }
-    if (!is_key_still_valid(state, *record, now))
+    record->refused_before_sending = recheck_key(state, *record, now);
+    if (record->refused_before_sending)
     {
         return false;
     }
--- a/test/correctness/history/key_recheck_test.cpp
+++ b/test/correctness/history/key_recheck_test.cpp
@@ -56,6 +56,7 @@
     const auto* refusal = std::get_if<node::refusal>(&ended.at(0));
     ASSERT_NE(refusal, nullptr);
     EXPECT_EQ(refusal->ran, node::run_state::not_run);
+    EXPECT_EQ(refusal->error, node::request_error::unknown_key);
 }
 
 } // namespace
