--- a/bench/support/processes.sh
+++ b/bench/support/processes.sh
@@ -1,6 +1,8 @@
 # Shared by the benchmarks that start real processes: result lines, figures from /proc and an orderly stop.
 # Sourced by bash with `set -euo pipefail`.
 
+source "$(dirname "${BASH_SOURCE[0]}")/../../tools/processes.sh"
+
 ip=127.0.0.1
 admin_credential=loopback-admin-credential
 bench_failed=0
@@ -9,20 +11,6 @@
 stub_pids=()
 helper_pid=''
 
-# Sends TERM, then KILL to those that have not ended after 15 s.
-stop_all() {
-    local pid waited=0
-    for pid in "$@"; do kill -TERM "$pid" 2>/dev/null || true; done
-    for pid in "$@"; do
-        while kill -0 "$pid" 2>/dev/null && ((waited < 150)); do
-            sleep 0.1
-            waited=$((waited + 1))
-        done
-        kill -KILL "$pid" 2>/dev/null || true
-        wait "$pid" 2>/dev/null || true
-    done
-}
-
 stop_processes() {
     if [[ -n $helper_pid ]]; then stop_all "$helper_pid"; fi
     stop_all "${daemon_pids[@]}"
--- a/tools/fleet_common.sh
+++ b/tools/fleet_common.sh
@@ -6,6 +6,8 @@
 # shellcheck shell=bash
 # shellcheck disable=SC2154 # build, base, folder and daemons come from the caller.
 
+source "$(dirname "${BASH_SOURCE[0]}")/processes.sh"
+
 ip=127.0.0.1
 admin_credential=loopback-admin-credential
 daemon_pids=()
@@ -15,20 +17,6 @@
 
 now_us() { date +%s%6N; }
 
-# Sends TERM, then KILL to those that have not ended after 15 s.
-stop_all() {
-    local pid waited=0
-    for pid in "$@"; do kill -TERM "$pid" 2>/dev/null || true; done
-    for pid in "$@"; do
-        while kill -0 "$pid" 2>/dev/null && ((waited < 150)); do
-            sleep 0.1
-            waited=$((waited + 1))
-        done
-        kill -KILL "$pid" 2>/dev/null || true
-        wait "$pid" 2>/dev/null || true
-    done
-}
-
 # Daemons first: their requests in flight need the backend servers.
 stop_fleet() {
     stop_all "${daemon_pids[@]}"
