--- a/src/config/model.hpp
+++ b/src/config/model.hpp
@@ -5,6 +5,7 @@
 #include "core/time.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,8 @@
 {
     std::string name;
     std::vector<core::digest> keys; ///< SHA-256 of each valid key; two during a rotation.
+    /// Goes before the route's rank; 0 is the most urgent.
+    std::optional<std::uint32_t> rank;
     double rate = 0.0;              ///< Requests a second over all VMs.
     double burst = 0.0;             ///< Requests.
     double seat_fraction = 0.2;     ///< Part of rate and burst that is divided by `max_vms`.
@@ -64,15 +67,32 @@
     std::uint32_t slots = 2;             ///< Requests that one server runs at once.
     std::uint32_t cold_allowance = 1;    ///< Concurrent requests that a cold server bears.
     std::uint32_t max_connections = 250; ///< Per server, over all VMs.
+    std::string health_path = "/health";
+    core::duration warmup = std::chrono::seconds(3); ///< A server is cold for so long after its start.
+    double warmup_rate = 2.0;                        ///< Requests/s that a cold server tolerates.
     std::vector<backend_server> servers;
 
     bool operator==(const service&) const = default;
 };
 
+/// A service that gets a part of a route's requests.
+struct split_part
+{
+    std::string service;
+    double weight = 1.0;
+
+    bool operator==(const split_part&) const = default;
+};
+
 struct route
 {
+    std::string host; ///< Empty for any host.
     std::string prefix;
     std::string service;
+    std::vector<split_part> split; ///< Takes the place of `service` when it is not empty.
+    std::uint32_t rank = 1;        ///< Urgency; 0 is the most urgent.
+    std::uint32_t attempts = 2;    ///< Backend servers that may run one request.
+    core::duration objective = std::chrono::seconds(1); ///< Latency that callers expect.
     request_class priority = request_class::lookup;
     bool idempotent = true;
     bool open = false; ///< Needs no key.
@@ -81,9 +101,21 @@
     bool operator==(const route&) const = default;
 };
 
+/// What a caller's connection may send and how long it may take.
+struct caller_limits
+{
+    std::uint32_t header_bytes = 16U * 1024U;
+    std::uint64_t body_bytes = 4ULL * 1024 * 1024;
+    core::duration header_timeout = std::chrono::seconds(10);
+    core::duration idle_timeout = std::chrono::seconds(60);
+
+    bool operator==(const caller_limits&) const = default;
+};
+
 struct configuration
 {
     std::uint64_t version = 0;
+    caller_limits limits;
     std::uint32_t max_vms = 20;
     std::uint32_t pool_groups = 8;
     core::duration lease_term = std::chrono::seconds(10);
--- a/src/core/time.hpp
+++ b/src/core/time.hpp
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <cstdint>
 
+#include <ctime>
+
 namespace zinniaferry::core
 {
 
@@ -45,4 +47,14 @@
         std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
+/// Returns the time since boot, which also counts while the VM is suspended; the steady clock stops
+/// then. The daemon fills the time points of deadlines and of the age of beliefs from it. Thread
+/// safe.
+inline time_point elapsed_now()
+{
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return time_point(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
 } // namespace zinniaferry::core
