--- a/src/config/json_document.hpp
+++ b/src/config/json_document.hpp
@@ -2,6 +2,7 @@
 /// the JSON path, the value and what was expected. Used by the readers of `config`.
 #pragma once
 
+#include "config/text_file.hpp"
 #include "core/error.hpp"
 #include "core/time.hpp"
 
@@ -16,9 +17,6 @@
 namespace zinniaferry::config
 {
 
-/// The platform holds values up to this size, in bytes.
-inline constexpr std::size_t max_document_bytes = 1U << 20U;
-
 /// No object of a valid document has more members. The bound keeps the search for duplicate
 /// members linear.
 inline constexpr std::size_t max_object_members = 64;
--- a/src/config/model.cpp
+++ b/src/config/model.cpp
@@ -16,21 +16,6 @@
     return found == entries.end() ? nullptr : &*found;
 }
 
-// "/orders" matches "/orders", "/orders/7" and "/orders?x", but not "/ordersheet".
-bool prefix_matches(std::string_view prefix, std::string_view path)
-{
-    if (!path.starts_with(prefix))
-    {
-        return false;
-    }
-    if (path.size() == prefix.size() || prefix.ends_with('/'))
-    {
-        return true;
-    }
-    const char next = path[prefix.size()];
-    return next == '/' || next == '?';
-}
-
 } // namespace
 
 const char* to_string(request_class value)
@@ -62,6 +47,20 @@
     return find_by_name(config.data_centres, name);
 }
 
+bool prefix_matches(std::string_view prefix, std::string_view path)
+{
+    if (!path.starts_with(prefix))
+    {
+        return false;
+    }
+    if (path.size() == prefix.size() || prefix.ends_with('/'))
+    {
+        return true;
+    }
+    const char next = path[prefix.size()];
+    return next == '/' || next == '?';
+}
+
 const route* find_route(const configuration& config, std::string_view path)
 {
     const route* best = nullptr;
--- a/src/config/model.hpp
+++ b/src/config/model.hpp
@@ -138,6 +138,10 @@
 const service* find_service(const configuration& config, std::string_view name);
 const data_centre* find_data_centre(const configuration& config, std::string_view name);
 
+/// Returns whether the prefix begins the path and ends at a segment's end: "/orders" matches
+/// "/orders", "/orders/7" and "/orders?x", but not "/ordersheet". Thread safe.
+bool prefix_matches(std::string_view prefix, std::string_view path);
+
 /// Returns the route with the longest prefix that `path` starts with at a segment boundary, or
 /// nullptr. Thread safe while the configuration is not modified.
 const route* find_route(const configuration& config, std::string_view path);
--- a/src/config/reader.cpp
+++ b/src/config/reader.cpp
@@ -312,33 +312,4 @@
     return std::move(state.config);
 }
 
-core::result<std::string> read_text_file(const std::string& file)
-{
-    const auto close = [](std::FILE* open)
-    {
-        std::fclose(open);
-    };
-    const std::unique_ptr<std::FILE, decltype(close)> input(std::fopen(file.c_str(), "rb"), close);
-    if (!input)
-    {
-        return boost::leaf::new_error(core::file_error{.file = file, .error_number = errno});
-    }
-    std::string out(max_document_bytes + 1, '\0');
-    errno = 0;
-    out.resize(std::fread(out.data(), 1, out.size(), input.get()));
-    if (std::ferror(input.get()) != 0)
-    {
-        return boost::leaf::new_error(core::file_error{.file = file, .error_number = errno});
-    }
-    if (out.size() > max_document_bytes)
-    {
-        return boost::leaf::new_error(
-            core::document_error{.file = file,
-                                 .path = "$",
-                                 .value = fmt::format("more than {} bytes", max_document_bytes),
-                                 .expected = fmt::format("at most {} bytes", max_document_bytes)});
-    }
-    return out;
-}
-
 } // namespace zinniaferry::config
--- a/src/config/reader.hpp
+++ b/src/config/reader.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "config/model.hpp"
+#include "config/text_file.hpp"
 #include "config/settings.hpp"
 #include "core/error.hpp"
 
@@ -48,8 +49,4 @@
 /// for the first fault found. Thread safe.
 core::result<configuration> read_configuration(std::string_view text, const std::string& file);
 
-/// Returns the content of a file. Errors: file_error; document_error when it is larger than
-/// `max_document_bytes`. Thread safe.
-core::result<std::string> read_text_file(const std::string& file);
-
 } // namespace zinniaferry::config
--- a/src/core/time.hpp
+++ b/src/core/time.hpp
@@ -11,8 +11,8 @@
 
 using namespace std::chrono_literals;
 
-/// Clock of the decision logic. It has no now(): the daemon fills time points from its steady
-/// clock, checks fill them from virtual time, so that every run repeats from its seed.
+/// Clock of the decision logic. It has no now(): the daemon fills time points from the time since
+/// boot, checks fill them from virtual time, so that every run repeats from its seed.
 struct logical_clock
 {
     using duration = std::chrono::nanoseconds;
@@ -40,13 +40,6 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
 }
 
-/// Returns the steady clock's present time as a time point of the decision logic. Thread safe.
-inline time_point steady_now()
-{
-    return time_point(
-        std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
-}
-
 /// Returns the time since boot, which also counts while the VM is suspended; the steady clock stops
 /// then. The daemon fills the time points of deadlines and of the age of beliefs from it. Thread
 /// safe.
--- a/src/net/admin_listener.cpp
+++ b/src/net/admin_listener.cpp
@@ -45,7 +45,7 @@
 
 admin_answer view_accounts(const admin_context& context, const http_request& request)
 {
-    const json::array accounts = node::account_view(context.host.decider(), core::steady_now());
+    const json::array accounts = node::account_view(context.host.decider(), core::elapsed_now());
     if (is_operator(context, request))
     {
         return {.body = json::serialize(accounts)};
@@ -71,7 +71,7 @@
 admin_answer view_for_operators(const admin_context& context, std::string_view path)
 {
     node::decider& decider = context.host.decider();
-    const core::time_point now = core::steady_now();
+    const core::time_point now = core::elapsed_now();
     if (path == "/state")
     {
         return {.body = json::serialize(context.dump())};
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -79,11 +79,11 @@
                                        .data_centre = settings.data_centre,
                                        .region = settings.region,
                                        .random_seed = random_number()},
-                                      core::steady_now(), wall_now())),
+                                      core::elapsed_now(), wall_now())),
           upstream_(io_, {}, connection_events()),
           peers_(io_.get_executor(), peer_options(settings, self_),
                  [this](const fleet::message& message)
-                 { host_.run(node::handle_message(*decider_, message, core::steady_now())); }),
+                 { host_.run(node::handle_message(*decider_, message, core::elapsed_now())); }),
           host_(io_, *decider_,
                 {.send_to_peer = [this](const fleet::outgoing& out) { peers_.send(out); },
                  .probe =
@@ -205,7 +205,7 @@
 
     asio::awaitable<void> run_probe(node::send_probe probe)
     {
-        const core::time_point begun = core::steady_now();
+        const core::time_point begun = core::elapsed_now();
         http_client client(io_, probe.address, max_header_bytes);
         const auto answer = co_await client.get("/health", probe_timeout);
         std::string report;
@@ -213,7 +213,7 @@
         {
             report = header_value(answer->base(), load_header);
         }
-        const core::time_point now = core::steady_now();
+        const core::time_point now = core::elapsed_now();
         host_.run(node::probe_ended(*decider_, probe.server, report, now - begun, now));
     }
 
@@ -236,14 +236,14 @@
         while (true)
         {
             refresh_peers();
-            upstream_.close_idle(core::steady_now());
+            upstream_.close_idle(core::elapsed_now());
             co_await sleep_for(io_, housekeeping_interval);
         }
     }
 
     asio::awaitable<void> watch_readiness()
     {
-        while (!node::is_ready(*decider_, core::steady_now()))
+        while (!node::is_ready(*decider_, core::elapsed_now()))
         {
             co_await sleep_for(io_, readiness_interval);
         }
@@ -264,7 +264,7 @@
         const bool served = lifecycle_.state() == process_state::serving;
         lifecycle_.apply(process_event::stop_asked);
         log_->info("stopping, readiness is off");
-        host_.run(node::announce_stop(*decider_, core::steady_now()));
+        host_.run(node::announce_stop(*decider_, core::elapsed_now()));
         if (served)
         {
             co_await sleep_for(io_, settings_.stop_grace);
@@ -283,8 +283,8 @@
         callers_->close(ignored);
         sessions_.closing = true;
         close_idle_sessions(sessions_);
-        const core::time_point limit = core::steady_now() + finish_limit;
-        while (sessions_.open_sessions > 0 && core::steady_now() < limit)
+        const core::time_point limit = core::elapsed_now() + finish_limit;
+        while (sessions_.open_sessions > 0 && core::elapsed_now() < limit)
         {
             co_await sleep_for(io_, readiness_interval);
         }
@@ -293,13 +293,13 @@
 
     asio::awaitable<void> hand_over()
     {
-        const core::time_point limit = core::steady_now() + hand_over_limit;
+        const core::time_point limit = core::elapsed_now() + hand_over_limit;
         do
         {
-            host_.run(node::hand_over(*decider_, core::steady_now()));
+            host_.run(node::hand_over(*decider_, core::elapsed_now()));
             co_await sleep_for(io_, readiness_interval);
-        } while (!node::hand_over_done(*decider_, core::steady_now()) &&
-                 core::steady_now() < limit);
+        } while (!node::hand_over_done(*decider_, core::elapsed_now()) &&
+                 core::elapsed_now() < limit);
         // The releases and returns leave before the connections are closed.
         co_await sleep_for(io_, std::chrono::milliseconds(50));
     }
@@ -315,12 +315,12 @@
                               .peer_bytes_in = links.bytes_in,
                               .peer_bytes_out = links.bytes_out,
                               .peer_links = peers_.connected().size()},
-                             durations_, core::steady_now());
+                             durations_, core::elapsed_now());
     }
 
     boost::json::object dump() const
     {
-        boost::json::object out = node::dump(*decider_, core::steady_now());
+        boost::json::object out = node::dump(*decider_, core::elapsed_now());
         out["process_state"] = to_string(lifecycle_.state());
         out["peer_links"] = peers_.dump();
         out["caller_connections"] = sessions_.open_sessions;
--- /dev/null
+++ b/src/net/event_log.cpp
@@ -0,0 +1,106 @@
+#include "net/event_log.hpp"
+
+#include <boost/json/serialize.hpp>
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <chrono>
+
+namespace zinniaferry::net
+{
+
+namespace
+{
+
+/// Lines that wait for the writing thread; the oldest are dropped beyond that.
+constexpr std::size_t queue_lines = 256;
+
+double wall_seconds()
+{
+    return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+} // namespace
+
+struct event_log::writer
+{
+    writer()
+        : pool(std::make_shared<spdlog::details::thread_pool>(queue_lines, 1)),
+          logger(std::make_shared<spdlog::async_logger>(
+              "events", std::make_shared<spdlog::sinks::stdout_sink_mt>(), pool,
+              spdlog::async_overflow_policy::overrun_oldest))
+    {
+        logger->set_pattern("%v");
+        logger->flush_on(spdlog::level::info);
+    }
+
+    std::shared_ptr<spdlog::details::thread_pool> pool;
+    std::shared_ptr<spdlog::async_logger> logger;
+};
+
+event_log::event_log(event_log_options options) : options_(std::move(options))
+{
+    if (options_.enabled)
+    {
+        writer_ = std::make_unique<writer>();
+    }
+}
+
+event_log::~event_log() = default;
+
+bool event_log::take_line(std::string_view kind)
+{
+    if (!options_.enabled)
+    {
+        return false;
+    }
+    const auto second = std::chrono::duration_cast<std::chrono::seconds>(
+                            core::elapsed_now().time_since_epoch())
+                            .count();
+    kind_count& count = kinds_[std::string(kind)];
+    if (count.second != second)
+    {
+        if (count.left_out > 0)
+        {
+            emit({{"time", wall_seconds()},
+                  {"vm", options_.vm},
+                  {"part", "log"},
+                  {"kind", "left_out"},
+                  {"of", kind},
+                  {"lines", count.left_out}});
+        }
+        count = {.second = second};
+    }
+    if (count.lines >= options_.lines_per_kind_and_s)
+    {
+        ++count.left_out;
+        ++left_out_;
+        return false;
+    }
+    ++count.lines;
+    return true;
+}
+
+void event_log::write(std::string_view part, std::string_view kind, boost::json::object fields)
+{
+    if (!take_line(kind))
+    {
+        return;
+    }
+    boost::json::object line = {
+        {"time", wall_seconds()}, {"vm", options_.vm}, {"part", part}, {"kind", kind}};
+    for (auto& [name, value] : fields)
+    {
+        line[name] = std::move(value);
+    }
+    emit(line);
+}
+
+void event_log::emit(const boost::json::object& line)
+{
+    writer_->logger->info("{}", boost::json::serialize(line));
+}
+
+} // namespace zinniaferry::net
--- /dev/null
+++ b/src/net/event_log.hpp
@@ -0,0 +1,58 @@
+/// Structured log: one JSON line on standard output for each decision, with a bounded number of
+/// lines for each kind and second. Writing never blocks the caller.
+#pragma once
+
+#include "core/time.hpp"
+
+#include <boost/json/object.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace zinniaferry::net
+{
+
+struct event_log_options
+{
+    std::string vm;
+    bool enabled = true;
+    std::uint32_t lines_per_kind_and_s = 100;
+};
+
+/// One thread at a time.
+class event_log
+{
+public:
+    explicit event_log(event_log_options options);
+    ~event_log();
+    event_log(const event_log&) = delete;
+    event_log& operator=(const event_log&) = delete;
+
+    /// Writes a line with the time, `part` (the fixed prefix) and `kind`. A line beyond the bound
+    /// is counted instead, and the count is written when the second is over.
+    void write(std::string_view part, std::string_view kind, boost::json::object fields);
+
+    std::uint64_t left_out() const { return left_out_; }
+
+private:
+    struct kind_count
+    {
+        std::int64_t second = 0;
+        std::uint32_t lines = 0;
+        std::uint64_t left_out = 0;
+    };
+    struct writer;
+
+    bool take_line(std::string_view kind);
+    void emit(const boost::json::object& line);
+
+    event_log_options options_;
+    std::unordered_map<std::string, kind_count> kinds_;
+    std::uint64_t left_out_ = 0;
+    std::unique_ptr<writer> writer_;
+};
+
+} // namespace zinniaferry::net
--- /dev/null
+++ b/src/net/gateway.hpp
@@ -0,0 +1,76 @@
+/// Everything that the requests of one daemon share: the configuration in force, the decisions'
+/// state and the connections to backend servers.
+#pragma once
+
+#include "config/index.hpp"
+#include "limits/account_shares.hpp"
+#include "limits/repeat_budget.hpp"
+#include "net/backend_pool.hpp"
+#include "net/event_log.hpp"
+#include "net/request_durations.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace zinniaferry::net
+{
+
+struct gateway_options
+{
+    std::string vm;
+    std::string data_centre;
+    bool log_events = true;
+    std::uint64_t random_seed = 1;
+};
+
+struct gateway_counters
+{
+    std::uint64_t requests = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t caller_gone = 0;
+    std::uint64_t repeats = 0; ///< Requests sent to a further backend server.
+    std::array<std::uint64_t, request::refusal_reasons> refused{};
+};
+
+/// One thread: the io_context's.
+struct gateway
+{
+    /// Precondition: `io` outlives the gateway.
+    gateway(asio::io_context& context, http_profile http, gateway_options how);
+
+    asio::io_context& io;
+    const http_profile profile;
+    const gateway_options options;
+    std::shared_ptr<const config::index> configuration; ///< Null before the first.
+    routing::backend_set backends;
+    limits::account_shares accounts;
+    limits::repeat_budget repeats;
+    backend_pool pool;
+    event_log log;
+    core::random_generator random;
+    request_durations durations;
+    gateway_counters counters;
+    std::size_t requests_in_progress = 0;
+    bool closing = false;  ///< Connections end after the answer at hand.
+    bool refusing = false; ///< New requests are refused, because the daemon is about to exit.
+};
+
+/// Puts a configuration in force. One that is not newer than the present one is ignored, so that
+/// a version never goes back. Returns whether it is in force now.
+bool apply_configuration(gateway& gateway, std::shared_ptr<const config::configuration> config,
+                         core::time_point now);
+
+/// Sets the members of the fleet, this daemon included, which share limits and cold servers.
+void set_members(gateway& gateway, std::vector<std::string> members);
+
+/// Probes suspect servers that are due, and closes connections that are no longer of use.
+void maintain(gateway& gateway, core::time_point now);
+
+/// Returns the path that a service's servers answer probes on.
+std::string health_path(const gateway& gateway, const std::string& service);
+
+} // namespace zinniaferry::net
--- /dev/null
+++ b/src/net/gateway_metrics.cpp
@@ -0,0 +1,66 @@
+#include "net/gateway_metrics.hpp"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <iterator>
+
+namespace zinniaferry::net
+{
+
+namespace
+{
+
+void print(std::string& out, const char* type, const char* name, const char* help, double value)
+{
+    fmt::format_to(std::back_inserter(out), "# HELP {0} {1}\n# TYPE {0} {2}\n{0} {3}\n", name, help,
+                   type, value);
+}
+
+void print_refusals(std::string& out, const gateway_counters& counters)
+{
+    out += "# HELP zinnia_refusals_total Requests that the daemon answered itself, by reason.\n"
+           "# TYPE zinnia_refusals_total counter\n";
+    for (std::size_t i = 0; i < counters.refused.size(); ++i)
+    {
+        fmt::format_to(std::back_inserter(out), "zinnia_refusals_total{{reason=\"{}\"}} {}\n",
+                       request::to_string(static_cast<request::refusal_reason>(i)),
+                       counters.refused.at(i));
+    }
+}
+
+} // namespace
+
+std::string print_metrics(const gateway& gateway, const daemon_figures& figures)
+{
+    const gateway_counters& counters = gateway.counters;
+    const auto number = [](auto value) { return static_cast<double>(value); };
+    std::string out;
+    print(out, "counter", "zinnia_requests_total", "Requests read.", number(counters.requests));
+    print(out, "counter", "zinnia_answered_total", "Answers of backend servers handed over.",
+          number(counters.answered));
+    print(out, "counter", "zinnia_caller_gone_total", "Requests whose caller left.",
+          number(counters.caller_gone));
+    print(out, "counter", "zinnia_repeats_total", "Requests sent to a further backend server.",
+          number(counters.repeats));
+    print(out, "counter", "zinnia_backend_connections_total", "Connections to backend servers.",
+          number(gateway.pool.counters.connections));
+    print(out, "counter", "zinnia_probes_total", "Probes of backend servers.",
+          number(gateway.pool.counters.probes));
+    print(out, "counter", "zinnia_platform_calls_total", "Calls to the platform's store.",
+          number(figures.platform_calls));
+    print(out, "counter", "zinnia_log_lines_left_out_total", "Log lines beyond the bound.",
+          number(gateway.log.left_out()));
+    print(out, "gauge", "zinnia_requests_in_progress", "Requests without an answer yet.",
+          number(gateway.requests_in_progress));
+    print(out, "gauge", "zinnia_caller_connections", "Open connections of callers.",
+          number(figures.caller_connections));
+    print(out, "gauge", "zinnia_configuration_version", "Version in force; 0 for none.",
+          gateway.configuration ? number(gateway.configuration->config->version) : 0.0);
+    print(out, "gauge", "zinnia_replica_revision", "Revision of the store that is known.",
+          number(figures.replica_revision));
+    print_refusals(out, counters);
+    gateway.durations.print(out);
+    return out;
+}
+
+} // namespace zinniaferry::net
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,6 +1,6 @@
 #include "net/http_client.hpp"
 
-#include "net/upstream_pool.hpp"
+#include "net/backend_pool.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -31,7 +31,7 @@
     {
         co_return true;
     }
-    const auto endpoint = parse_endpoint(address_);
+    const auto endpoint = read_endpoint(address_);
     if (!endpoint)
     {
         co_return false;
@@ -44,7 +44,7 @@
         close();
         co_return false;
     }
-    socket_.set_option(asio::ip::tcp::no_delay(true), error);
+    set_connection_options(socket_);
     co_return true;
 }
 
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -3,7 +3,7 @@
 
 #include "core/time.hpp"
 #include "net/deadline_timer.hpp"
-#include "net/http_rules.hpp"
+#include "net/message_rules.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -156,7 +156,7 @@
     request.set("X-Zinnia-Request-Id",
                 fmt::format("{}-{:x}-{}", self.vm, self.incarnation, dispatch.request));
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(dispatch.deadline -
-                                                                            core::steady_now());
+                                                                            core::elapsed_now());
     request.set("X-Zinnia-Deadline-Ms", std::to_string(std::max<std::int64_t>(left.count(), 0)));
     request.set(http::field::host, dispatch.address);
 }
@@ -212,7 +212,7 @@
         co_return co_await write_refusal(*connection, {.error = *error}, request, false);
     }
     connection->attempt = {};
-    const core::time_point arrived = core::steady_now();
+    const core::time_point arrived = core::elapsed_now();
     connection->request = context.host.start_request(std::get<node::request_description>(described),
                                                      connection->slot);
     connection->in_progress = true;
@@ -223,7 +223,7 @@
     watch_caller(connection);
     const bool again = co_await carry_out(connection, request, keep_alive);
     connection->in_progress = false;
-    context.durations.record(core::steady_now() - arrived);
+    context.durations.record(core::elapsed_now() - arrived);
     context.host.end_request(connection->request);
     error_code ignored;
     connection->socket.cancel(ignored);
--- a/src/net/metrics.cpp
+++ b/src/net/metrics.cpp
@@ -1,6 +1,5 @@
 #include "net/metrics.hpp"
 
-#include <boost/histogram.hpp>
 #include <spdlog/fmt/fmt.h>
 
 #include <iterator>
@@ -11,15 +10,6 @@
 namespace
 {
 
-namespace histogram = boost::histogram;
-
-using seconds_axis = histogram::axis::regular<double, histogram::axis::transform::log>;
-
-// Bins from 50 microseconds to 10 seconds, each about 28% wider than the one before.
-constexpr unsigned bin_count = 50;
-constexpr double lowest_seconds = 50e-6;
-constexpr double highest_seconds = 10.0;
-
 void counter(std::string& out, const char* name, const char* help, std::uint64_t value)
 {
     fmt::format_to(std::back_inserter(out), "# HELP {0} {1}\n# TYPE {0} counter\n{0} {2}\n", name,
@@ -63,47 +53,6 @@
 
 } // namespace
 
-struct request_durations::histograms
-{
-    decltype(histogram::make_histogram(
-        seconds_axis(bin_count, lowest_seconds, highest_seconds))) bins =
-        histogram::make_histogram(seconds_axis(bin_count, lowest_seconds, highest_seconds));
-    double sum = 0.0;
-    std::uint64_t count = 0;
-};
-
-request_durations::request_durations() : histograms_(std::make_unique<histograms>()) {}
-
-request_durations::~request_durations() = default;
-
-void request_durations::record(core::duration whole)
-{
-    const double seconds = core::to_seconds(whole);
-    histograms_->bins(seconds);
-    histograms_->sum += seconds;
-    ++histograms_->count;
-}
-
-void request_durations::print(std::string& out) const
-{
-    out += "# HELP zinnia_request_duration_seconds From a request's arrival to its answer.\n"
-           "# TYPE zinnia_request_duration_seconds histogram\n";
-    const auto& axis = histograms_->bins.axis();
-    double cumulative = histograms_->bins.at(-1);
-    for (int i = 0; i < axis.size(); ++i)
-    {
-        cumulative += histograms_->bins.at(i);
-        fmt::format_to(std::back_inserter(out),
-                       "zinnia_request_duration_seconds_bucket{{le=\"{:.6g}\"}} {:.0f}\n",
-                       axis.bin(i).upper(), cumulative);
-    }
-    fmt::format_to(std::back_inserter(out),
-                   "zinnia_request_duration_seconds_bucket{{le=\"+Inf\"}} {0}\n"
-                   "zinnia_request_duration_seconds_sum {1}\n"
-                   "zinnia_request_duration_seconds_count {0}\n",
-                   histograms_->count, histograms_->sum);
-}
-
 std::string print_metrics(const node::decider& decider, const daemon_gauges& gauges,
                           const request_durations& durations, core::time_point now)
 {
--- a/src/net/metrics.hpp
+++ b/src/net/metrics.hpp
@@ -1,35 +1,14 @@
 /// Metrics of one daemon in Prometheus' text format.
 #pragma once
 
+#include "net/request_durations.hpp"
 #include "node/decider.hpp"
 
-#include <array>
-#include <memory>
 #include <string>
 
 namespace zinniaferry::net
 {
 
-/// Durations by class of request, in a Boost.Histogram with logarithmic bins. One thread at a
-/// time.
-class request_durations
-{
-public:
-    request_durations();
-    ~request_durations();
-    request_durations(const request_durations&) = delete;
-    request_durations& operator=(const request_durations&) = delete;
-
-    void record(core::duration whole);
-
-    /// Appends the histogram as `zinnia_request_duration_seconds`.
-    void print(std::string& out) const;
-
-private:
-    struct histograms;
-    std::unique_ptr<histograms> histograms_;
-};
-
 /// Counters of the daemon that the decider does not know.
 struct daemon_gauges
 {
--- a/src/net/node_host.cpp
+++ b/src/net/node_host.cpp
@@ -55,23 +55,23 @@
 {
     const node::request_id id = next_id_++;
     slots_[id] = &slot;
-    run(node::start_request(decider_, id, request, core::steady_now()));
+    run(node::start_request(decider_, id, request, core::elapsed_now()));
     return id;
 }
 
 bool node_host::bytes_leaving(node::request_id id)
 {
-    return node::bytes_leaving(decider_, id, core::steady_now());
+    return node::bytes_leaving(decider_, id, core::elapsed_now());
 }
 
 void node_host::attempt_ended(node::request_id id, const node::attempt_result& result)
 {
-    run(node::attempt_ended(decider_, id, result, core::steady_now()));
+    run(node::attempt_ended(decider_, id, result, core::elapsed_now()));
 }
 
 void node_host::caller_gone(node::request_id id)
 {
-    run(node::caller_gone(decider_, id, core::steady_now()));
+    run(node::caller_gone(decider_, id, core::elapsed_now()));
 }
 
 void node_host::end_request(node::request_id id)
@@ -130,7 +130,7 @@
         {
             co_return;
         }
-        run(node::tick(decider_, wall_now(), core::steady_now()));
+        run(node::tick(decider_, wall_now(), core::elapsed_now()));
     }
 }
 
--- a/src/net/peer_link_state.cpp
+++ b/src/net/peer_link_state.cpp
@@ -380,20 +380,20 @@
     }
     else if (peer.held.size() < options.max_held_messages)
     {
-        peer.held.push_back({*payload, core::steady_now()});
+        peer.held.push_back({*payload, core::elapsed_now()});
     }
     else
     {
         // Old ones are worth least: their ages have grown.
         peer.held.pop_front();
         ++peer.past.frames_dropped;
-        peer.held.push_back({*payload, core::steady_now()});
+        peer.held.push_back({*payload, core::elapsed_now()});
     }
 }
 
 void peer_link_state::flush_held(peer_record& peer)
 {
-    const core::time_point oldest = core::steady_now() - options.connect_hold;
+    const core::time_point oldest = core::elapsed_now() - options.connect_hold;
     for (const held_message& message : std::exchange(peer.held, {}))
     {
         if (message.at < oldest || !peer.sender)
--- a/src/net/peer_session.cpp
+++ b/src/net/peer_session.cpp
@@ -197,7 +197,7 @@
     m_timer.cancel();
     ++m_counters.connections;
     m_tokens = m_options.max_frames_per_second;
-    m_tokens_at = core::steady_now();
+    m_tokens_at = core::elapsed_now();
     m_events.on_ready(*this);
     if (!m_closed)
     {
@@ -271,7 +271,7 @@
 // Returns how long to wait until one more frame is within the accepted rate.
 std::optional<core::duration> peer_session::wait_for_token()
 {
-    const core::time_point now = core::steady_now();
+    const core::time_point now = core::elapsed_now();
     const double rate = m_options.max_frames_per_second;
     m_tokens = std::min(rate, m_tokens + core::to_seconds(now - m_tokens_at) * rate);
     m_tokens_at = now;
--- a/src/net/platform_client.cpp
+++ b/src/net/platform_client.cpp
@@ -45,7 +45,7 @@
     node::decider& decider = host.decider();
     while (true)
     {
-        const auto call = node::next_service_call(decider, core::steady_now());
+        const auto call = node::next_service_call(decider, core::elapsed_now());
         if (!call)
         {
             co_await pause_for(host.io(), node::tick_interval);
@@ -54,7 +54,7 @@
         const std::string target =
             fmt::format("/v1/config?after={}&wait_ms={}", call->after_version, to_ms(call->wait));
         const auto answer = co_await client.get(target, call->wait + options.call_timeout);
-        const core::time_point now = core::steady_now();
+        const core::time_point now = core::elapsed_now();
         if (answer && answer->result_int() == 200)
         {
             host.run(node::service_replied(decider, answer->body(), now));
@@ -117,7 +117,7 @@
                 revision = document.as_object().contains("revision")
                                ? document.at("revision").to_number<std::uint64_t>(error)
                                : 0;
-                node::set_vm_list(host.decider(), *list, core::steady_now());
+                node::set_vm_list(host.decider(), *list, core::elapsed_now());
             }
         }
         // A pause after each answer also bounds the calls when the service ignores the wait.
--- /dev/null
+++ b/src/net/request_durations.hpp
@@ -0,0 +1,31 @@
+/// Histogram of the time from a request's arrival to the end of its answer.
+#pragma once
+
+#include "core/time.hpp"
+
+#include <memory>
+#include <string>
+
+namespace zinniaferry::net
+{
+
+/// A Boost.Histogram with logarithmic bins. One thread at a time.
+class request_durations
+{
+public:
+    request_durations();
+    ~request_durations();
+    request_durations(const request_durations&) = delete;
+    request_durations& operator=(const request_durations&) = delete;
+
+    void record(core::duration whole);
+
+    /// Appends the histogram as `zinnia_request_duration_seconds`.
+    void print(std::string& out) const;
+
+private:
+    struct histograms;
+    std::unique_ptr<histograms> histograms_;
+};
+
+} // namespace zinniaferry::net
--- /dev/null
+++ b/src/net/request_flow.cpp
@@ -0,0 +1,483 @@
+#include "net/request_flow.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace zinniaferry::net
+{
+
+namespace
+{
+
+using request::progress_event;
+using request::refusal_reason;
+
+/// Taken off the caller's time, because the answer needs time on its way.
+constexpr core::duration way_back = std::chrono::milliseconds(10);
+constexpr core::duration default_time_left = std::chrono::seconds(10);
+constexpr core::duration busy_retry_after = std::chrono::milliseconds(100);
+constexpr core::duration start_retry_after = std::chrono::milliseconds(250);
+/// Part of the objective after which an idempotent request is sent to a second server as well.
+constexpr double second_send_part = 0.45;
+/// A second send is of use only when the first takes clearly longer than usual.
+constexpr double second_send_latency_factor = 1.5;
+/// Part of the objective for which a request waits for a server that may get it.
+constexpr double hold_part = 0.1;
+constexpr core::duration hold_step = std::chrono::milliseconds(10);
+
+core::duration part_of(core::duration whole, double part)
+{
+    return core::from_seconds(core::to_seconds(whole) * part);
+}
+
+double to_ms(core::duration time)
+{
+    return core::to_seconds(time) * 1e3;
+}
+
+routing::failure_kind failure_of(exchange_end end)
+{
+    switch (end)
+    {
+    case exchange_end::wrong_server:
+        return routing::failure_kind::wrong_server;
+    case exchange_end::timed_out:
+        return routing::failure_kind::timeout;
+    default:
+        return routing::failure_kind::broken;
+    }
+}
+
+refusal_reason reason_of(exchange_end end)
+{
+    switch (end)
+    {
+    case exchange_end::timed_out:
+        return refusal_reason::deadline;
+    case exchange_end::malformed:
+        return refusal_reason::unusable_answer;
+    default:
+        return refusal_reason::server_lost;
+    }
+}
+
+} // namespace
+
+request_flow::request_flow(gateway& gateway, const http_request& message, core::time_point arrived)
+    : gateway_(gateway), message_(message), arrived_(arrived), wake_(gateway.io)
+{
+}
+
+asio::awaitable<std::optional<http_response>> request_flow::run()
+{
+    const auto alive = shared_from_this();
+    ++gateway_.counters.requests;
+    ++gateway_.requests_in_progress;
+    std::optional<http_response> answer;
+    if (const auto refusal = admit())
+    {
+        answer = refuse(*refusal);
+    }
+    else
+    {
+        answer = co_await serve();
+        stop_attempts();
+    }
+    --gateway_.requests_in_progress;
+    gateway_.durations.record(core::elapsed_now() - arrived_);
+    if (caller_gone_)
+    {
+        ++gateway_.counters.caller_gone;
+        log_end("caller_gone", 0);
+        co_return std::nullopt;
+    }
+    co_return answer;
+}
+
+void request_flow::cancel()
+{
+    caller_gone_ = true;
+    stop_attempts();
+    notify();
+}
+
+std::optional<request::refusal> request_flow::admit()
+{
+    const auto described = describe_request(message_, gateway_.profile);
+    if (const auto* reason = std::get_if<refusal_reason>(&described))
+    {
+        return request::refusal{.reason = *reason};
+    }
+    described_ = std::get<request_description>(described);
+    if (gateway_.refusing)
+    {
+        return request::refusal{refusal_reason::stopping, busy_retry_after};
+    }
+    if (const auto refusal = check_in_force())
+    {
+        return refusal;
+    }
+    const core::duration time_left =
+        std::max(described_.time_left.value_or(default_time_left) - way_back, core::duration());
+    deadline_ = arrived_ + std::min(time_left, route_->timeout);
+    const limits::admission result =
+        limits::admit(gateway_.accounts, account_, core::elapsed_now());
+    if (!result.admitted)
+    {
+        return request::refusal{refusal_reason::over_limit, result.retry_after};
+    }
+    service_ = choose_service();
+    progress_ = {.idempotent = route_->idempotent, .max_runs = route_->attempts};
+    limits::on_first_attempt(gateway_.repeats, service_);
+    return std::nullopt;
+}
+
+// Finds the route and the account in the configuration in force.
+std::optional<request::refusal> request_flow::check_in_force()
+{
+    configuration_ = gateway_.configuration;
+    if (!configuration_)
+    {
+        return request::refusal{refusal_reason::no_configuration, start_retry_after};
+    }
+    route_ = config::find_route(*configuration_, described_.host, described_.path);
+    if (route_ == nullptr)
+    {
+        return request::refusal{.reason = refusal_reason::unknown_route};
+    }
+    const config::account* account =
+        described_.key.empty() ? nullptr
+                               : config::find_account_by_key(*configuration_, described_.key);
+    if (account == nullptr && !route_->open && !configuration_->config->accounts.empty())
+    {
+        return request::refusal{.reason = refusal_reason::unknown_key};
+    }
+    account_ = account == nullptr ? std::string() : account->name;
+    return std::nullopt;
+}
+
+// Each part of a split gets its weight also while it is short of room: a request stays with its
+// part and is refused there rather than moved.
+std::string request_flow::choose_service()
+{
+    if (route_->split.empty())
+    {
+        return route_->service;
+    }
+    double total = 0.0;
+    for (const config::split_part& part : route_->split)
+    {
+        total += part.weight;
+    }
+    double at = core::uniform(gateway_.random) * total;
+    for (const config::split_part& part : route_->split)
+    {
+        at -= part.weight;
+        if (at < 0.0)
+        {
+            return part.service;
+        }
+    }
+    return route_->split.back().service;
+}
+
+asio::awaitable<http_response> request_flow::serve()
+{
+    const core::time_point hold_until = arrived_ + part_of(route_->objective, hold_part);
+    while (!caller_gone_)
+    {
+        if (auto answer = settle_ended())
+        {
+            co_return hand_over(std::move(*answer));
+        }
+        const core::time_point now = core::elapsed_now();
+        const bool idle = open_attempts() == 0;
+        if (now >= deadline_ || (idle && !may_send_now(now)))
+        {
+            co_return give_up(now);
+        }
+        if (may_send_now(now))
+        {
+            const bool sent = co_await send_to_next();
+            if (sent || caller_gone_)
+            {
+                continue;
+            }
+            if (open_attempts() == 0 && core::elapsed_now() >= hold_until)
+            {
+                co_return give_up(core::elapsed_now());
+            }
+            co_await wait_until(std::min(deadline_, core::elapsed_now() + hold_step));
+            continue;
+        }
+        co_await wait_until(std::min(deadline_, second_send_time().value_or(deadline_)));
+    }
+    co_return http_response();
+}
+
+std::size_t request_flow::open_attempts() const
+{
+    return static_cast<std::size_t>(std::count_if(attempts_.begin(), attempts_.end(),
+                                                  [](const auto& entry)
+                                                  { return !entry->settled; }));
+}
+
+// When the request may go to a second server although the first has not answered.
+std::optional<core::time_point> request_flow::second_send_time() const
+{
+    if (!request::may_send(progress_) || open_attempts() != 1)
+    {
+        return std::nullopt;
+    }
+    const auto pace = gateway_.backends.pace.find(service_);
+    const core::duration usual =
+        pace == gateway_.backends.pace.end() ? core::duration() : pace->second.latency;
+    return attempts_.back()->started + std::max(part_of(route_->objective, second_send_part),
+                                                part_of(usual, second_send_latency_factor));
+}
+
+bool request_flow::may_send_now(core::time_point now) const
+{
+    if (open_attempts() == 0)
+    {
+        const bool first = attempts_.empty();
+        return request::may_send(progress_) &&
+               (first || limits::has_repeat(gateway_.repeats, service_));
+    }
+    const auto second = second_send_time();
+    return second && now >= *second && limits::has_repeat(gateway_.repeats, service_);
+}
+
+asio::awaitable<bool> request_flow::send_to_next()
+{
+    // A named object: GCC 12 destroys aggregate temporaries of a co_await expression twice.
+    const target_request wanted = {
+        .service = service_, .excluded = tried_, .deadline = deadline_};
+    const target_choice choice = co_await choose_target(gateway_, wanted);
+    if (!choice.chosen)
+    {
+        if (choice.candidates > 0)
+        {
+            request::note_failed_connect(progress_);
+        }
+        co_return false;
+    }
+    const target& chosen = *choice.chosen;
+    servers_full_ = routing::is_full(*chosen.server, core::elapsed_now());
+    const bool first = attempts_.empty();
+    if (caller_gone_ || (!first && !limits::take_repeat(gateway_.repeats, service_)))
+    {
+        gateway_.pool.put_back(*chosen.server, chosen.connection);
+        co_return false;
+    }
+    // A newer version may have come while the servers were asked.
+    if (configuration_ != gateway_.configuration && attempts_.empty() && check_in_force())
+    {
+        gateway_.pool.put_back(*chosen.server, chosen.connection);
+        deadline_ = core::elapsed_now();
+        co_return false;
+    }
+    start_attempt(chosen);
+    co_return true;
+}
+
+void request_flow::start_attempt(target chosen)
+{
+    const core::time_point now = core::elapsed_now();
+    gateway_.counters.repeats += attempts_.empty() ? 0 : 1;
+    auto entry = std::make_shared<attempt>();
+    entry->at = std::move(chosen);
+    entry->started = now;
+    routing::on_sent(*entry->at.server);
+    request::apply(progress_, progress_event::bytes_left);
+    tried_.push_back(entry->at.server);
+    attempts_.push_back(entry);
+    http_request message = make_forwarded(message_, gateway_.profile,
+                                          {.server_id = entry->at.server->listed.id,
+                                           .account = account_,
+                                           .time_left = deadline_ - now});
+    asio::co_spawn(gateway_.io, carry_out(shared_from_this(), entry, std::move(message)),
+                   asio::detached);
+}
+
+asio::awaitable<void> request_flow::carry_out(std::shared_ptr<request_flow> flow,
+                                              std::shared_ptr<attempt> entry, http_request message)
+{
+    entry->result =
+        co_await flow->gateway_.pool.exchange(entry->at.connection, message, flow->deadline_);
+    entry->ended = true;
+    if (entry->settled)
+    {
+        // Nobody waits for this attempt any more.
+        routing::on_released(*entry->at.server);
+        co_return;
+    }
+    flow->notify();
+}
+
+std::optional<http_response> request_flow::settle_ended()
+{
+    for (std::size_t i = 0; i < attempts_.size(); ++i)
+    {
+        if (attempts_[i]->ended && !attempts_[i]->settled)
+        {
+            if (auto answer = settle(*attempts_[i]))
+            {
+                return answer;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<http_response> request_flow::settle(attempt& entry)
+{
+    entry.settled = true;
+    const core::time_point now = core::elapsed_now();
+    const core::duration latency = now - entry.started;
+    routing::backend& server = *entry.at.server;
+    trail_.push_back({{"server", server.listed.id},
+                      {"ms", to_ms(latency)},
+                      {"end", to_string(entry.result.end)},
+                      {"status", entry.result.answer ? entry.result.answer->result_int() : 0}});
+    switch (entry.result.end)
+    {
+    case exchange_end::answered:
+        return settle_answer(entry, latency);
+    case exchange_end::not_run:
+        routing::on_released(server);
+        gateway_.pool.put_back(server, entry.at.connection);
+        request::apply(progress_, progress_event::server_refused);
+        servers_full_ = true;
+        return std::nullopt;
+    case exchange_end::wrong_server:
+        routing::on_failed(gateway_.backends, server, routing::failure_kind::wrong_server, now);
+        request::apply(progress_, progress_event::server_refused);
+        return std::nullopt;
+    default:
+        settle_loss(entry, now);
+        return std::nullopt;
+    }
+}
+
+// An error that a server states counts as run. Another server may do better with an idempotent
+// request.
+std::optional<http_response> request_flow::settle_answer(attempt& entry, core::duration latency)
+{
+    routing::backend& server = *entry.at.server;
+    const core::time_point now = core::elapsed_now();
+    if (const auto load = routing::parse_load(
+            header_value(entry.result.answer->base(), gateway_.profile.load), now))
+    {
+        routing::on_reading(gateway_.backends, server, *load, core::duration::zero());
+    }
+    gateway_.pool.put_back(server, entry.at.connection);
+    if (entry.result.answer->result_int() < 500)
+    {
+        routing::on_answered(gateway_.backends, server, latency, now);
+        request::apply(progress_, progress_event::answer);
+        return std::move(entry.result.answer);
+    }
+    routing::on_failed(gateway_.backends, server, routing::failure_kind::error, now);
+    request::apply(progress_, progress_event::attempt_lost);
+    error_answer_ = std::move(entry.result.answer);
+    loss_ = refusal_reason::unusable_answer;
+    return std::nullopt;
+}
+
+void request_flow::settle_loss(attempt& entry, core::time_point now)
+{
+    routing::on_failed(gateway_.backends, *entry.at.server, failure_of(entry.result.end), now);
+    request::apply(progress_, progress_event::attempt_lost);
+    loss_ = reason_of(entry.result.end);
+}
+
+http_response request_flow::give_up(core::time_point now)
+{
+    const bool not_run = request::has_certainly_not_run(progress_);
+    request::apply(progress_, progress_event::give_up);
+    if (error_answer_)
+    {
+        return hand_over(std::move(*error_answer_));
+    }
+    if (not_run)
+    {
+        const bool late = now >= deadline_;
+        const auto reason = servers_full_ ? refusal_reason::overloaded
+                            : late        ? refusal_reason::expired
+                                          : refusal_reason::no_server;
+        return refuse({reason, busy_retry_after});
+    }
+    return refuse({.reason = now >= deadline_ ? refusal_reason::deadline
+                                              : loss_.value_or(refusal_reason::server_lost)});
+}
+
+asio::awaitable<void> request_flow::wait_until(core::time_point at)
+{
+    if (!notified_)
+    {
+        wake_.expires_after(std::max(at - core::elapsed_now(), core::duration::zero()));
+        boost::system::error_code ignored;
+        co_await wake_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    notified_ = false;
+}
+
+void request_flow::notify()
+{
+    notified_ = true;
+    wake_.cancel();
+}
+
+// Closing the connection tells the server to stop the work, and keeps a late answer from reuse.
+void request_flow::stop_attempts()
+{
+    for (const auto& entry : attempts_)
+    {
+        if (!entry->settled)
+        {
+            entry->settled = true;
+            boost::system::error_code ignored;
+            entry->at.connection->socket.close(ignored);
+            if (entry->ended)
+            {
+                routing::on_released(*entry->at.server);
+            }
+        }
+    }
+}
+
+http_response request_flow::hand_over(http_response answer)
+{
+    ++gateway_.counters.answered;
+    remove_server_headers(answer, gateway_.profile);
+    answer.version(11);
+    log_end("answered", answer.result_int());
+    return answer;
+}
+
+http_response request_flow::refuse(const request::refusal& refusal)
+{
+    ++gateway_.counters.refused.at(static_cast<std::size_t>(refusal.reason));
+    log_end(request::to_string(refusal.reason), request::http_status(refusal.reason));
+    return make_refusal(refusal, gateway_.profile, described_.id);
+}
+
+void request_flow::log_end(std::string_view outcome, unsigned status)
+{
+    gateway_.log.write("requests", outcome == "answered" ? "answered" : "not_answered",
+                       {{"request", described_.id},
+                        {"outcome", outcome},
+                        {"status", status},
+                        {"version", configuration_ ? configuration_->config->version : 0},
+                        {"account", account_},
+                        {"service", service_},
+                        {"ms", to_ms(core::elapsed_now() - arrived_)},
+                        {"attempts", std::move(trail_)}});
+}
+
+} // namespace zinniaferry::net
--- /dev/null
+++ b/src/net/status_listener.hpp
@@ -0,0 +1,28 @@
+/// A listener for questions about the daemon itself: readiness, metrics and the state dump.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace zinniaferry::net
+{
+
+struct status_answer
+{
+    unsigned status = 200;
+    std::string content_type = "application/json";
+    std::string body;
+};
+
+using status_handler = std::function<status_answer(std::string_view path)>;
+
+/// Answers GET requests by `handler` until the acceptor is closed. Precondition: the acceptor
+/// outlives the operation. Thread safety: the acceptor's executor only.
+boost::asio::awaitable<void> serve_status(boost::asio::ip::tcp::acceptor& acceptor,
+                                          status_handler handler);
+
+} // namespace zinniaferry::net
--- /dev/null
+++ b/src/net/target_choice.cpp
@@ -0,0 +1,173 @@
+#include "net/target_choice.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace zinniaferry::net
+{
+
+namespace
+{
+
+/// Candidates that are asked at once. The best of two already avoids most full servers; each more
+/// costs its server the time of a probe.
+constexpr std::size_t asked_candidates = 2;
+/// A server that takes longer to tell its load is passed over.
+constexpr core::duration answer_limit = std::chrono::milliseconds(40);
+
+/// The measurements of one choice. It outlives the choice while slow candidates are still asked.
+struct measurements
+{
+    explicit measurements(asio::io_context& io) : done(io) {}
+
+    asio::steady_timer done;
+    std::vector<target> answered;
+    std::size_t pending = 0;
+    bool closed = false; ///< The choice is made; later answers only update what is known.
+};
+
+void note_unusable(gateway& gateway, const routing::backend_pointer& server,
+                   routing::failure_kind kind)
+{
+    routing::on_sent(*server);
+    routing::on_failed(gateway.backends, *server, kind, core::elapsed_now());
+    gateway.log.write("servers", "unusable",
+                      {{"server", server->listed.id},
+                       {"service", server->listed.service},
+                       {"why", routing::to_string(kind)}});
+}
+
+// Returns the connection when the server answered on it and the request may take it.
+asio::awaitable<backend_connection_pointer> measure(gateway& gateway,
+                                                    routing::backend_pointer server)
+{
+    // A kept connection may have gone silent or been forgotten by the server, which says nothing
+    // about the server itself; only a failure on a new one does.
+    backend_connection_pointer connection = gateway.pool.take_idle(*server, core::time_point());
+    const bool kept = connection != nullptr;
+    const std::string path = health_path(gateway, server->listed.service);
+    probe_result result;
+    if (kept)
+    {
+        result = co_await gateway.pool.probe(connection, server->listed.id, path, answer_limit);
+    }
+    if (!result.answered)
+    {
+        connection = co_await gateway.pool.connect(*server);
+        if (connection)
+        {
+            result =
+                co_await gateway.pool.probe(connection, server->listed.id, path, answer_limit);
+        }
+    }
+    if (!result.answered)
+    {
+        note_unusable(gateway, server, routing::failure_kind::unreachable);
+        co_return nullptr;
+    }
+    if (!result.right_server)
+    {
+        note_unusable(gateway, server, routing::failure_kind::wrong_server);
+        co_return nullptr;
+    }
+    if (result.load)
+    {
+        routing::on_reading(gateway.backends, *server, *result.load, result.warmup_left);
+    }
+    co_return connection->reusable ? connection : nullptr;
+}
+
+asio::awaitable<void> measure_into(gateway& gateway, std::shared_ptr<measurements> all,
+                                   routing::backend_pointer server)
+{
+    target measured{.server = server};
+    measured.connection = co_await measure(gateway, server);
+    --all->pending;
+    if (measured.connection && all->closed)
+    {
+        gateway.pool.put_back(*server, measured.connection);
+    }
+    else if (measured.connection)
+    {
+        all->answered.push_back(std::move(measured));
+    }
+    all->done.cancel();
+}
+
+bool has_idle_answer(const measurements& all, core::time_point now)
+{
+    return std::any_of(all.answered.begin(), all.answered.end(),
+                       [&](const target& entry)
+                       {
+                           return entry.server->reading && !routing::is_full(*entry.server, now) &&
+                                  entry.server->reading->running == 0 &&
+                                  entry.server->reading->slowdown <= 1.0;
+                       });
+}
+
+// Waits until all candidates have answered, one is idle, or the limit has passed.
+asio::awaitable<void> wait_for_answers(measurements& all, core::time_point limit)
+{
+    while (all.pending > 0 && !has_idle_answer(all, core::elapsed_now()))
+    {
+        const core::duration left = limit - core::elapsed_now();
+        if (left <= core::duration::zero())
+        {
+            co_return;
+        }
+        all.done.expires_after(left);
+        boost::system::error_code ignored;
+        co_await all.done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+} // namespace
+
+asio::awaitable<target_choice> choose_target(gateway& gateway, const target_request& request)
+{
+    target_choice out;
+    const core::time_point begun = core::elapsed_now();
+    const std::vector<routing::backend_pointer> list =
+        routing::candidates(gateway.backends, request.service, request.excluded, asked_candidates,
+                            begun, gateway.random);
+    out.candidates = list.size();
+    if (list.empty())
+    {
+        co_return out;
+    }
+    const auto all = std::make_shared<measurements>(gateway.io);
+    all->pending = list.size();
+    for (const routing::backend_pointer& server : list)
+    {
+        asio::co_spawn(gateway.io, measure_into(gateway, all, server), asio::detached);
+    }
+    co_await wait_for_answers(*all, std::min(request.deadline, begun + 4 * answer_limit));
+    all->closed = true;
+    const core::time_point now = core::elapsed_now();
+    std::sort(all->answered.begin(), all->answered.end(),
+              [&](const target& a, const target& b)
+              {
+                  return routing::expected_cost(gateway.backends, *a.server, now) <
+                         routing::expected_cost(gateway.backends, *b.server, now);
+              });
+    for (target& entry : all->answered)
+    {
+        out.full += routing::is_full(*entry.server, now) ? 1 : 0;
+        if (!out.chosen && routing::may_send(gateway.backends, *entry.server, now))
+        {
+            out.chosen = std::move(entry);
+        }
+        else
+        {
+            gateway.pool.put_back(*entry.server, entry.connection);
+        }
+    }
+    co_return out;
+}
+
+} // namespace zinniaferry::net
--- /dev/null
+++ b/src/net/target_choice.hpp
@@ -0,0 +1,39 @@
+/// Chooses the backend server for one request: asks a few candidates for their load on connections
+/// that the request may then take.
+#pragma once
+
+#include "net/gateway.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <optional>
+#include <span>
+
+namespace zinniaferry::net
+{
+
+/// A server with a connection on which it has just answered.
+struct target
+{
+    routing::backend_pointer server;
+    backend_connection_pointer connection;
+};
+
+struct target_request
+{
+    std::string service;
+    std::span<const routing::backend_pointer> excluded; ///< Servers that failed the request.
+    core::time_point deadline; ///< The choice ends at the latest then.
+};
+
+struct target_choice
+{
+    std::optional<target> chosen;
+    std::size_t candidates = 0; ///< Servers that were asked.
+    std::size_t full = 0;       ///< Of these, those without room.
+};
+
+/// Returns the best candidate that answers, or none. Thread safety: the io_context's thread only.
+asio::awaitable<target_choice> choose_target(gateway& gateway, const target_request& request);
+
+} // namespace zinniaferry::net
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -100,7 +100,7 @@
     {
         return nullptr;
     }
-    const core::time_point now = core::steady_now();
+    const core::time_point now = core::elapsed_now();
     auto& connections = found->second;
     while (!connections.empty())
     {
@@ -133,7 +133,7 @@
     }
     auto connection = std::make_shared<upstream_connection>(io_, target.server, events_);
     connection->timer.expires_at(
-        std::min(target.deadline, core::steady_now() + options_.connect_timeout));
+        std::min(target.deadline, core::elapsed_now() + options_.connect_timeout));
     error_code error;
     co_await connection->socket.async_connect(*endpoint, into(error));
     if (error)
@@ -241,7 +241,7 @@
     auto& connections = idle_[address];
     if (connections.size() < options_.max_idle_per_server)
     {
-        connection->idle_since = core::steady_now();
+        connection->idle_since = core::elapsed_now();
         watch_idle(address, connection);
         connections.push_back(std::move(connection));
     }
--- /dev/null
+++ b/src/request/progress.cpp
@@ -0,0 +1,104 @@
+#include "request/progress.hpp"
+
+#include "chart/chart.hpp"
+
+#include <algorithm>
+#include <array>
+#include <vector>
+
+namespace zinniaferry::request
+{
+
+namespace
+{
+
+/// Servers that refuse a request before it is given up; each send costs the fleet's budget.
+constexpr std::uint32_t max_refusals = 3;
+constexpr std::uint32_t max_failed_connects = 4;
+
+constexpr std::array state_names = {"unsent",          "open",     "open_twice", "lost",
+                                    "open_after_loss", "answered", "not_run",    "unknown"};
+constexpr std::array event_names = {"bytes_left", "server_refused", "attempt_lost", "answer",
+                                    "give_up"};
+
+struct chart_indices
+{
+    const chart::state_chart* chart = nullptr;
+    std::vector<chart::index> state;
+    std::vector<chart::index> event;
+};
+
+const chart_indices& indices()
+{
+    static const chart_indices known = []
+    {
+        chart_indices out;
+        out.chart = &chart::get_chart("request_progress");
+        for (const char* name : state_names)
+        {
+            out.state.push_back(chart::state_index(*out.chart, name));
+        }
+        for (const char* name : event_names)
+        {
+            out.event.push_back(chart::event_index(*out.chart, name));
+        }
+        return out;
+    }();
+    return known;
+}
+
+} // namespace
+
+const char* to_string(progress_state value)
+{
+    return state_names.at(static_cast<std::size_t>(value));
+}
+
+bool apply(progress& progress, progress_event event)
+{
+    const chart_indices& known = indices();
+    const chart::step_result next =
+        chart::step(*known.chart, known.state.at(static_cast<std::size_t>(progress.state)),
+                    known.event.at(static_cast<std::size_t>(event)));
+    if (!next.accepted)
+    {
+        return false;
+    }
+    const auto found = std::find(known.state.begin(), known.state.end(), next.state);
+    progress.state = static_cast<progress_state>(found - known.state.begin());
+    progress.runs += event == progress_event::bytes_left ? 1 : 0;
+    if (event == progress_event::server_refused)
+    {
+        --progress.runs;
+        ++progress.refusals;
+    }
+    return true;
+}
+
+void note_failed_connect(progress& progress)
+{
+    ++progress.failed_connects;
+}
+
+bool may_send(const progress& progress)
+{
+    const bool tries_left = progress.refusals < max_refusals &&
+                            progress.failed_connects < max_failed_connects;
+    switch (progress.state)
+    {
+    case progress_state::unsent:
+        return tries_left;
+    case progress_state::open:
+    case progress_state::lost:
+        return tries_left && progress.idempotent && progress.runs < progress.max_runs;
+    default:
+        return false;
+    }
+}
+
+bool has_certainly_not_run(const progress& progress)
+{
+    return progress.state == progress_state::unsent || progress.state == progress_state::not_run;
+}
+
+} // namespace zinniaferry::request
--- /dev/null
+++ b/src/routing/backends.hpp
@@ -0,0 +1,163 @@
+/// The backend servers that one daemon knows, with its own observations of each: who may get a
+/// request, and which of a few candidates gets it.
+#pragma once
+
+#include "chart/chart.hpp"
+#include "core/random.hpp"
+#include "core/time.hpp"
+
+#include <boost/json.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace zinniaferry::routing
+{
+
+/// States of `charts/backend.json`.
+enum class backend_state
+{
+    serving,
+    cold,
+    suspect,
+    draining,
+    gone
+};
+
+/// What the platform lists of a backend server.
+struct listed_backend
+{
+    std::string id;
+    std::string service;
+    std::string address; ///< IP number and port; used again by others after the server's end.
+    std::string data_centre;
+    std::uint32_t slots = 1;
+    bool draining = false;
+    core::duration warmup_left{}; ///< Zero for a warm server.
+    std::uint64_t lifetime = 0;   ///< Differs between two starts under one id.
+
+    bool operator==(const listed_backend&) const = default;
+};
+
+/// Load that a backend server reported of itself.
+struct load_reading
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 1;
+    double slowdown = 1.0; ///< How much longer work takes there at this moment.
+    core::time_point at;
+};
+
+struct backend
+{
+    listed_backend listed;
+    backend_state state = backend_state::gone;
+    core::time_point cold_until;
+    core::time_point suspect_until; ///< No probe before.
+    std::uint32_t suspicions = 0;   ///< In a row; each doubles the time until the next probe.
+    std::uint32_t in_flight = 0;    ///< Requests of this daemon.
+    std::optional<load_reading> reading;
+    double error_rate = 0.0; ///< Moving average over this daemon's own requests.
+    core::time_point error_rate_at;
+    double slowness = 1.0; ///< Moving average of latency against the service's.
+    core::time_point slowness_at;
+    double cold_tokens = 0.0;
+    core::time_point cold_tokens_at;
+};
+
+using backend_pointer = std::shared_ptr<backend>;
+
+struct service_pace
+{
+    core::duration latency{}; ///< Moving average; zero before the first answer.
+    double warmup_rate = 1.0; ///< Requests/s that a cold server tolerates.
+    core::duration warmup{};
+};
+
+struct backend_set_options
+{
+    std::string self;        ///< This daemon's name among the members.
+    std::string data_centre; ///< Servers of it are preferred while they are no worse.
+    /// Requests above `warmup_rate` that one cold server bears in any second.
+    double cold_slack = 5.0;
+    double cold_overage = 1.5; ///< Factor on `warmup_rate` that is still borne.
+};
+
+struct backend_set
+{
+    backend_set_options options;
+    std::unordered_map<std::string, backend_pointer> by_id;
+    std::unordered_map<std::string, std::vector<backend_pointer>> by_service;
+    std::unordered_map<std::string, service_pace> pace;
+    std::unordered_set<std::string> data_centres_out;
+    std::vector<std::string> members; ///< Of the fleet; they share what a cold server bears.
+};
+
+enum class failure_kind
+{
+    unreachable, ///< No connection, or no answer to a probe.
+    broken,      ///< The connection ended, or the answer was cut or malformed.
+    error,       ///< An answer that states an error of the server.
+    timeout,
+    wrong_server ///< Another server answers at the address.
+};
+
+/// All functions: one thread at a time, except for to_string, which is thread safe.
+
+const char* to_string(backend_state value);
+const char* to_string(failure_kind value);
+
+/// Takes over a listing. A new lifetime starts without observations.
+void apply_listing(backend_set& set, const listed_backend& listed, core::time_point now);
+
+/// Forgets the server; requests in progress keep their pointer.
+void remove_listing(backend_set& set, const std::string& id);
+
+/// Sets the data centres that get nothing. Servers of one that returns count as cold.
+void set_data_centres_out(backend_set& set, std::unordered_set<std::string> out,
+                          core::time_point now);
+
+/// Returns up to `count` servers of the service that may get a request now, best first. Servers in
+/// `excluded` are left out. Takes the part of a cold server's allowance when it returns one.
+std::vector<backend_pointer> candidates(backend_set& set, const std::string& service,
+                                        std::span<const backend_pointer> excluded,
+                                        std::size_t count, core::time_point now,
+                                        core::random_generator& random);
+
+/// Returns whether the server may get a request at this moment. A request is prepared in steps,
+/// and the server may have left meanwhile.
+bool may_send(const backend_set& set, const backend& server, core::time_point now);
+
+/// Returns the time that a request is expected to take at the server, relative to others.
+double expected_cost(const backend_set& set, const backend& server, core::time_point now);
+
+/// Returns whether the server reports, freshly, that it has no room for another request.
+bool is_full(const backend& server, core::time_point now);
+
+/// Returns suspect servers that are due for a probe and moves their next probe on.
+std::vector<backend_pointer> due_probes(backend_set& set, core::time_point now);
+
+void on_sent(backend& server);
+void on_reading(backend_set& set, backend& server, const load_reading& reading,
+                core::duration warmup_left);
+void on_answered(backend_set& set, backend& server, core::duration latency, core::time_point now);
+void on_failed(backend_set& set, backend& server, failure_kind kind, core::time_point now);
+/// The request left the server for a reason that says nothing about it.
+void on_released(backend& server);
+/// A probe of a suspect server was answered well.
+void on_trial_passed(backend& server);
+
+/// Parses "running,waiting,slots[,slowdown in hundredths]". Returns nothing for other text.
+std::optional<load_reading> parse_load(std::string_view text, core::time_point now);
+
+boost::json::array dump(const backend_set& set, core::time_point now);
+
+} // namespace zinniaferry::routing
--- a/test/support/front_end.hpp
+++ b/test/support/front_end.hpp
@@ -110,7 +110,7 @@
 {
 public:
     explicit front_end(const std::string& configuration, net::caller_options options = {})
-        : decider_(node::make_decider({.self = {"vm-1", 7}}, core::steady_now() - warm_up, {})),
+        : decider_(node::make_decider({.self = {"vm-1", 7}}, core::elapsed_now() - warm_up, {})),
           upstream_(io_, {},
                     {.opened = [](const std::string&) {},
                      .closed =
@@ -186,7 +186,7 @@
     void warm_up_in_virtual_time(const std::string& configuration)
     {
         constexpr node::request_id first_warm_up_id = 1'000'000;
-        const core::time_point end = core::steady_now();
+        const core::time_point end = core::elapsed_now();
         core::time_point now = end - warm_up;
         node::set_vm_list(*decider_, {}, now);
         host_.run(node::service_replied(*decider_, configuration, now));
@@ -220,7 +220,7 @@
                    {
                        host_.run(node::probe_ended(
                            *decider_, probe.server, "inflight=0;queue=0;slots=2;state=serving",
-                           std::chrono::milliseconds(1), core::steady_now()));
+                           std::chrono::milliseconds(1), core::elapsed_now()));
                    });
     }
     void accept()
