Pass the store's changes and the demand of accounts on through hubs

Two hubs by a fixed order watch the store; the others subscribe to both, report their demand once a second and get changes as they come, the age of what the hub knows, and the demand of the fleet.

--- a/deploy/deploy.cmake
+++ b/deploy/deploy.cmake
@@ -3,18 +3,20 @@
 set(CMAKE_RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR})
 set(DEPLOYED
     chart/chart config/index config/model config/text_file core/digest core/error core/id
-    fleet/replica limits/account_shares limits/repeat_budget net/backend_pool net/caller_session net/deadline_timer
-    net/event_log net/gateway net/gateway_metrics net/http_client net/message_rules net/process_lifecycle
+    fleet/hub_choice fleet/hub_messages fleet/registry fleet/replica limits/account_shares limits/repeat_budget net/backend_pool net/caller_session net/deadline_timer
+    net/event_log net/gateway net/gateway_metrics net/http_client net/hub_links net/message_rules net/process_lifecycle
     net/request_durations net/request_flow net/status_listener net/target_choice request/progress request/refusal
     routing/backends)
 list(TRANSFORM DEPLOYED PREPEND src/)
 list(TRANSFORM DEPLOYED APPEND .cpp)
 file(GLOB ADAPTER CONFIGURE_DEPENDS platform/*.cpp)
-add_executable(zinniaferry-platform ${DEPLOYED} ${ADAPTER} ${CMAKE_BINARY_DIR}/generated/embedded.cpp)
+add_executable(zinniaferry-platform ${DEPLOYED} src/fleet/hub.capnp.c++ ${ADAPTER} ${CMAKE_BINARY_DIR}/generated/embedded.cpp)
 target_include_directories(zinniaferry-platform PRIVATE src ${CMAKE_SOURCE_DIR})
 target_compile_definitions(zinniaferry-platform PRIVATE ZINNIA_VERSION="${PROJECT_VERSION}" SPDLOG_HEADER_ONLY SPDLOG_FMT_EXTERNAL FMT_HEADER_ONLY)
 target_compile_options(zinniaferry-platform PRIVATE -Wall -Wextra -Wno-missing-field-initializers -ffunction-sections -fdata-sections)
 find_library(JSON_ARCHIVE libboost_json.a REQUIRED)
 find_library(CRYPTO_ARCHIVE libcrypto.a REQUIRED)
-target_link_libraries(zinniaferry-platform PRIVATE ${JSON_ARCHIVE} ${CRYPTO_ARCHIVE} Threads::Threads ${CMAKE_DL_LIBS})
+find_library(CAPNP_ARCHIVE libcapnp.a REQUIRED)
+find_library(KJ_ARCHIVE libkj.a REQUIRED)
+target_link_libraries(zinniaferry-platform PRIVATE ${CAPNP_ARCHIVE} ${KJ_ARCHIVE} ${JSON_ARCHIVE} ${CRYPTO_ARCHIVE} Threads::Threads ${CMAKE_DL_LIBS})
 target_link_options(zinniaferry-platform PRIVATE -Wl,--gc-sections -static-libstdc++ -static-libgcc)
--- /dev/null
+++ b/src/fleet/hub_choice.hpp
@@ -0,0 +1,64 @@
+/// Which daemons are this daemon's hubs, and whether it reads the platform's store itself.
+///
+/// All daemons order the candidates alike: the seeds of the settings first, then the other members
+/// by hash. The first two that can be reached and are current are the hubs. A daemon that is among
+/// them, that has subscribers, or that has no current hub watches the store.
+#pragma once
+
+#include "core/time.hpp"
+#include "fleet/hub_messages.hpp"
+
+#include <boost/json.hpp>
+
+#include <string>
+#include <vector>
+
+namespace zinniaferry::fleet
+{
+
+struct hub_candidate
+{
+    std::string address;
+    bool connected = false;
+    core::time_point heard;      ///< Last message.
+    core::time_point current_at; ///< All changes made before are known there.
+    core::time_point next_try;   ///< When the next connection may be opened.
+    std::uint32_t failures = 0;  ///< In a row; each doubles the pause before the next try.
+};
+
+struct hub_choice
+{
+    std::string self; ///< This daemon's own address.
+    std::vector<hub_candidate> candidates;
+    std::size_t seeds = 0; ///< The first candidates.
+};
+
+/// All functions: not thread safe for one choice.
+
+/// Sets the seeds; what is known of candidates that stay is kept.
+void set_seeds(hub_choice& choice, const std::vector<std::string>& seeds);
+
+/// Adds members that are not known yet, in the order of all daemons, and drops those that are
+/// neither seeds, nor connected, nor in the list.
+void set_members(hub_choice& choice, const std::vector<member>& members);
+
+/// Returns the addresses to which a connection is to be opened now.
+std::vector<std::string> wanted_connections(hub_choice& choice, core::time_point now);
+
+/// Returns whether a connection to the address is still of use.
+bool is_wanted(const hub_choice& choice, const std::string& address, core::time_point now);
+
+void on_connected(hub_choice& choice, const std::string& address, core::time_point now);
+void on_closed(hub_choice& choice, const std::string& address, core::time_point now);
+void on_heard(hub_choice& choice, const std::string& address, core::duration age,
+              core::time_point now);
+
+/// Returns whether this daemon is among its own hubs.
+bool is_hub(const hub_choice& choice, core::time_point now);
+
+/// Returns whether a hub feeds this daemon with all changes.
+bool has_current_hub(const hub_choice& choice, core::time_point now);
+
+boost::json::array dump(const hub_choice& choice, core::time_point now);
+
+} // namespace zinniaferry::fleet
--- /dev/null
+++ b/src/fleet/hub_messages.cpp
@@ -0,0 +1,188 @@
+#include "fleet/hub_messages.hpp"
+
+#include "fleet/hub.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+#include <algorithm>
+
+namespace zinniaferry::fleet
+{
+
+namespace
+{
+
+constexpr int max_nesting = 8;
+constexpr std::size_t max_traversal_words = 4 * max_hub_message_bytes / sizeof(capnp::word);
+
+std::string text(capnp::Text::Reader value)
+{
+    return {value.begin(), value.size()};
+}
+
+template <class List>
+void write_demand(List list, const std::vector<account_demand>& demand)
+{
+    for (unsigned i = 0; i < list.size(); ++i)
+    {
+        list[i].setAccount(demand[i].account);
+        list[i].setRequestsPerS(static_cast<float>(demand[i].requests_per_s));
+    }
+}
+
+template <class List>
+std::vector<account_demand> read_demand(const List& list)
+{
+    std::vector<account_demand> out;
+    out.reserve(list.size());
+    for (const auto& entry : list)
+    {
+        const double rate = entry.getRequestsPerS();
+        // Not a number and infinity would spoil every share.
+        out.push_back({text(entry.getAccount()), rate >= 0.0 && rate < 1e9 ? rate : 0.0});
+    }
+    return out;
+}
+
+struct message_writer
+{
+    wire::HubMessage::Builder out;
+
+    void operator()(const hello_message& value)
+    {
+        auto hello = out.initHello();
+        hello.setVm(value.self.vm);
+        hello.setAddress(value.self.address);
+        hello.setIncarnation(value.incarnation);
+        hello.setRevision(value.revision);
+    }
+    void operator()(const report_message& value)
+    {
+        write_demand(out.initReport().initDemand(static_cast<unsigned>(value.demand.size())),
+                     value.demand);
+    }
+    void operator()(const update_message& value)
+    {
+        auto update = out.initUpdate();
+        update.setRevision(value.revision);
+        update.setComplete(value.complete);
+        update.setAgeUs(static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::microseconds>(value.age).count()));
+        auto changes = update.initChanges(static_cast<unsigned>(value.changes.size()));
+        for (unsigned i = 0; i < changes.size(); ++i)
+        {
+            const entry_change& change = value.changes[i];
+            changes[i].setKey(change.key);
+            changes[i].setRevision(change.revision);
+            changes[i].setRemoved(!change.value.has_value());
+            if (change.value)
+            {
+                changes[i].setValue(
+                    kj::arrayPtr(reinterpret_cast<const kj::byte*>(change.value->data()),
+                                 change.value->size()));
+            }
+        }
+    }
+    void operator()(const fleet_message& value)
+    {
+        auto fleet = out.initFleet();
+        fleet.setMembersKnown(value.members_known);
+        fleet.setSettled(value.settled);
+        write_demand(fleet.initDemand(static_cast<unsigned>(value.demand.size())), value.demand);
+        auto members = fleet.initMembers(static_cast<unsigned>(value.members.size()));
+        for (unsigned i = 0; i < members.size(); ++i)
+        {
+            members[i].setVm(value.members[i].vm);
+            members[i].setAddress(value.members[i].address);
+        }
+    }
+};
+
+update_message read_update(wire::Update::Reader update)
+{
+    // A day; more would overflow nothing but says nothing either.
+    constexpr std::uint64_t max_age_us = 86'400ULL * 1'000'000ULL;
+    update_message out;
+    out.revision = update.getRevision();
+    out.complete = update.getComplete();
+    out.age = std::chrono::microseconds(std::min(update.getAgeUs(), max_age_us));
+    for (const auto& change : update.getChanges())
+    {
+        entry_change entry{.key = text(change.getKey()), .revision = change.getRevision()};
+        if (!change.getRemoved())
+        {
+            const auto value = change.getValue();
+            entry.value = std::string(value.asChars().begin(), value.size());
+        }
+        out.changes.push_back(std::move(entry));
+    }
+    return out;
+}
+
+fleet_message read_fleet(wire::Fleet::Reader fleet)
+{
+    fleet_message out;
+    out.members_known = fleet.getMembersKnown();
+    out.settled = fleet.getSettled();
+    out.demand = read_demand(fleet.getDemand());
+    for (const auto& entry : fleet.getMembers())
+    {
+        out.members.push_back({text(entry.getVm()), text(entry.getAddress())});
+    }
+    return out;
+}
+
+hub_message read_message(wire::HubMessage::Reader message)
+{
+    switch (message.which())
+    {
+    case wire::HubMessage::HELLO:
+    {
+        const auto hello = message.getHello();
+        return hello_message{.self = {text(hello.getVm()), text(hello.getAddress())},
+                             .incarnation = hello.getIncarnation(),
+                             .revision = hello.getRevision()};
+    }
+    case wire::HubMessage::REPORT:
+        return report_message{read_demand(message.getReport().getDemand())};
+    case wire::HubMessage::UPDATE:
+        return read_update(message.getUpdate());
+    case wire::HubMessage::FLEET:
+        return read_fleet(message.getFleet());
+    }
+    throw KJ_EXCEPTION(FAILED, "unknown message");
+}
+
+} // namespace
+
+std::string encode(const hub_message& message)
+{
+    capnp::MallocMessageBuilder builder(128);
+    std::visit(message_writer{builder.initRoot<wire::HubMessage>()}, message);
+    kj::VectorOutputStream stream;
+    capnp::writePackedMessage(stream, builder);
+    const kj::ArrayPtr<kj::byte> bytes = stream.getArray();
+    return {bytes.asChars().begin(), bytes.size()};
+}
+
+core::result<hub_message> decode_hub_message(std::string_view bytes)
+{
+    try
+    {
+        kj::ArrayInputStream stream(
+            kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+        capnp::PackedMessageReader reader(
+            stream, {.traversalLimitInWords = max_traversal_words, .nestingLimit = max_nesting});
+        return read_message(reader.getRoot<wire::HubMessage>());
+    }
+    catch (const kj::Exception&)
+    {
+        return boost::leaf::new_error(core::peer_message_error{
+            core::peer_message_error::reason::malformed, bytes.size()});
+    }
+}
+
+} // namespace zinniaferry::fleet
--- /dev/null
+++ b/src/fleet/registry.hpp
@@ -0,0 +1,48 @@
+/// The members of the fleet as a hub hears of them from its subscribers, and their demand.
+#pragma once
+
+#include "core/time.hpp"
+#include "fleet/hub_messages.hpp"
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace zinniaferry::fleet
+{
+
+struct registered_member
+{
+    member id;
+    std::uint64_t incarnation = 0;
+    bool heard = false;          ///< Subscribed now.
+    core::time_point last_heard; ///< When it was heard last, if not now.
+    std::vector<account_demand> demand;
+};
+
+struct registry
+{
+    member self;
+    core::time_point started;
+    std::unordered_map<std::string, registered_member> members; ///< By VM, without this daemon.
+};
+
+/// All functions: not thread safe for one registry.
+
+void on_hello(registry& registry, const hello_message& hello, core::time_point now);
+void on_report(registry& registry, const std::string& vm, std::vector<account_demand> demand,
+               core::time_point now);
+/// The subscription of that incarnation ended; a newer one of the VM stays.
+void on_left(registry& registry, const std::string& vm, std::uint64_t incarnation,
+             core::time_point now);
+
+/// Forgets members that vanished long ago. Until then they count as known, so that the shares of
+/// a part of the fleet that is cut off stay reserved.
+void forget_vanished(registry& registry, core::time_point now);
+
+/// Returns what this hub tells its subscribers. `own` is this daemon's demand.
+fleet_message describe_fleet(const registry& registry, const std::vector<account_demand>& own,
+                             core::time_point now);
+
+} // namespace zinniaferry::fleet
--- a/src/fleet/replica.cpp
+++ b/src/fleet/replica.cpp
@@ -12,36 +12,40 @@
 /// Removals that are remembered, so that peers can catch up without a complete copy.
 constexpr std::size_t max_removals = 512;
 
-void forget_oldest_removal(replica& replica)
+auto oldest_removal(const replica& replica)
 {
-    const auto oldest =
-        std::min_element(replica.removed.begin(), replica.removed.end(),
-                         [](const auto& a, const auto& b) { return a.second < b.second; });
-    replica.removed.erase(oldest);
+    return std::min_element(replica.removed.begin(), replica.removed.end(),
+                            [](const auto& a, const auto& b)
+                            { return a.second.sequence < b.second.sequence; });
 }
 
 bool remove_entry(replica& replica, const std::string& key, std::uint64_t revision)
 {
-    std::uint64_t& removed = replica.removed[key];
-    removed = std::max(removed, revision);
-    if (replica.removed.size() > max_removals)
-    {
-        forget_oldest_removal(replica);
-    }
     replica.missing.erase(key);
     const auto found = replica.entries.find(key);
-    if (found == replica.entries.end() || found->second.revision > revision)
+    if (found != replica.entries.end() && found->second.revision > revision)
     {
         return false;
     }
-    replica.entries.erase(found);
-    return true;
+    replica_removal& removal = replica.removed[key];
+    const bool known = found != replica.entries.end();
+    removal.revision = std::max(removal.revision, revision);
+    if (known)
+    {
+        removal.sequence = ++replica.sequence;
+        replica.entries.erase(found);
+    }
+    if (replica.removed.size() > max_removals)
+    {
+        replica.removed.erase(oldest_removal(replica));
+    }
+    return known;
 }
 
 bool write_entry(replica& replica, const entry_change& change)
 {
     const auto removed = replica.removed.find(change.key);
-    if (removed != replica.removed.end() && removed->second >= change.revision)
+    if (removed != replica.removed.end() && removed->second.revision >= change.revision)
     {
         return false;
     }
@@ -51,7 +55,7 @@
     {
         return false;
     }
-    entry = {*change.value, change.revision};
+    entry = {*change.value, change.revision, ++replica.sequence};
     return true;
 }
 
@@ -127,30 +131,38 @@
     return out;
 }
 
-catch_up changes_since(const replica& replica, std::uint64_t revision)
+std::vector<entry_change> complete_copy(const replica& replica)
 {
-    catch_up out;
-    std::uint64_t oldest_removal = 0;
-    if (replica.removed.size() >= max_removals)
+    std::vector<entry_change> out;
+    out.reserve(replica.entries.size());
+    for (const auto& [key, entry] : replica.entries)
     {
-        oldest_removal = std::min_element(replica.removed.begin(), replica.removed.end(),
-                                          [](const auto& a, const auto& b)
-                                          { return a.second < b.second; })
-                             ->second;
+        out.push_back({key, entry.value, entry.revision});
     }
-    out.complete = revision == 0 || revision < oldest_removal;
+    return out;
+}
+
+std::optional<std::vector<entry_change>> changes_after(const replica& replica,
+                                                       std::uint64_t sequence)
+{
+    if (replica.removed.size() >= max_removals &&
+        oldest_removal(replica)->second.sequence > sequence)
+    {
+        return std::nullopt;
+    }
+    std::vector<entry_change> out;
     for (const auto& [key, entry] : replica.entries)
     {
-        if (out.complete || entry.revision > revision)
+        if (entry.sequence > sequence)
         {
-            out.changes.push_back({key, entry.value, entry.revision});
+            out.push_back({key, entry.value, entry.revision});
         }
     }
-    for (const auto& [key, removed] : replica.removed)
+    for (const auto& [key, removal] : replica.removed)
     {
-        if (!out.complete && removed > revision && !replica.entries.contains(key))
+        if (removal.sequence > sequence && !replica.entries.contains(key))
         {
-            out.changes.push_back({key, std::nullopt, removed});
+            out.push_back({key, std::nullopt, removal.revision});
         }
     }
     return out;
--- a/src/fleet/replica.hpp
+++ b/src/fleet/replica.hpp
@@ -28,6 +28,13 @@
 {
     std::string value;
     std::uint64_t revision = 0;
+    std::uint64_t sequence = 0; ///< Of the change in this replica.
+};
+
+struct replica_removal
+{
+    std::uint64_t revision = 0;
+    std::uint64_t sequence = 0;
 };
 
 struct replica
@@ -37,7 +44,8 @@
     /// All changes that were made before this time are known.
     core::time_point current_at;
     std::map<std::string, replica_entry> entries;
-    std::map<std::string, std::uint64_t> removed; ///< Revisions of the latest removals.
+    std::map<std::string, replica_removal> removed; ///< The latest removals.
+    std::uint64_t sequence = 0; ///< Counts the changes of this replica, in the order of their arrival.
     /// Entries that are missing from a copy read after an outage, and when they count as gone.
     std::map<std::string, core::time_point> missing;
 };
@@ -58,12 +66,12 @@
 /// Removes the missing entries whose grace is over. Returns the changes.
 std::vector<entry_change> expire_missing(replica& replica, core::time_point now);
 
-/// Returns the changes since `revision`, or a complete copy as changes when that is too long ago.
-struct catch_up
-{
-    bool complete = false;
-    std::vector<entry_change> changes;
-};
-catch_up changes_since(const replica& replica, std::uint64_t revision);
+/// Returns all entries as changes.
+std::vector<entry_change> complete_copy(const replica& replica);
+
+/// Returns the changes that came after the replica's sequence was `sequence`, or nothing when
+/// removals since then may have been forgotten.
+std::optional<std::vector<entry_change>> changes_after(const replica& replica,
+                                                       std::uint64_t sequence);
 
 } // namespace zinniaferry::fleet
--- a/src/limits/account_shares.cpp
+++ b/src/limits/account_shares.cpp
@@ -15,7 +15,7 @@
 constexpr double even_part = 0.4;
 /// Part of the allowed excess that is used; the rest covers views that differ.
 constexpr double used_excess = 0.8;
-/// A daemon that has heard of no other assumes a fleet of this size.
+/// The fleet is assumed to have at least so many members while not all had time to be heard.
 constexpr std::size_t assumed_members = 20;
 constexpr double least_demand = 0.05; ///< Requests/s below which an account counts as idle.
 
@@ -34,7 +34,7 @@
 double members(const fleet_demand& fleet)
 {
     const std::size_t known = std::max(fleet.members_known, fleet.members_heard);
-    return static_cast<double>(known <= 1 ? assumed_members : known);
+    return static_cast<double>(fleet.settled ? known : std::max(known, assumed_members));
 }
 
 // Part of the fleet's rate that this daemon may hand out.
--- a/src/limits/account_shares.hpp
+++ b/src/limits/account_shares.hpp
@@ -32,6 +32,7 @@
 {
     std::size_t members_heard = 1; ///< Whose demand is in `requests_per_s`.
     std::size_t members_known = 1; ///< Also those that vanished lately.
+    bool settled = false;          ///< Every member has had time to be heard.
     std::unordered_map<std::string, double> requests_per_s; ///< By account, this daemon included.
 };
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -72,9 +72,9 @@
     return true;
 }
 
-void set_members(gateway& gateway, std::vector<std::string> members)
+void set_members(gateway& gateway, std::vector<std::string> members, std::size_t known)
 {
-    gateway.repeats.members = members.size();
+    gateway.repeats.members = std::max(members.size(), known);
     gateway.backends.members = std::move(members);
 }
 
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -64,8 +64,9 @@
 bool apply_configuration(gateway& gateway, std::shared_ptr<const config::configuration> config,
                          core::time_point now);
 
-/// Sets the members of the fleet, this daemon included, which share limits and cold servers.
-void set_members(gateway& gateway, std::vector<std::string> members);
+/// Sets the members of the fleet that are heard now, this daemon included, and the number of those
+/// known lately. They share limits and cold servers.
+void set_members(gateway& gateway, std::vector<std::string> members, std::size_t known);
 
 /// Probes suspect servers that are due, and closes connections that are no longer of use.
 void maintain(gateway& gateway, core::time_point now);
