Share one daemon between platforms: adapter for published state, own settings without lease and pool fields

The daemon (listeners, peers, published state, stop) is in net/daemon; an adapter follows the platform and decodes its entries. Settings lose peer_secret and log_level and gain seeds.

--- a/src/config/builder.hpp
+++ b/src/config/builder.hpp
@@ -24,7 +24,6 @@
     std::vector<std::string> keys; ///< Plain text; two during a rotation.
     double rate = 0.0;             ///< Requests a second over all VMs.
     double burst = 0.0;            ///< Requests.
-    double seat_fraction = 0.2;
 };
 
 /// A deployment as operators write it. Regions, data centres, services and routes are the structs
@@ -32,10 +31,6 @@
 struct deployment
 {
     std::uint64_t version = 1;
-    std::uint32_t max_vms = 20;
-    std::uint32_t pool_groups = 8;
-    core::duration lease_term = std::chrono::seconds(10);
-    core::duration idempotency_window = std::chrono::seconds(120);
     std::vector<region> regions;
     std::vector<data_centre> data_centres;
     std::vector<account_options> accounts;
--- a/src/config/diff.cpp
+++ b/src/config/diff.cpp
@@ -1,5 +1,7 @@
 #include "config/diff.hpp"
 
+#include "config/printer.hpp"
+
 #include <spdlog/fmt/fmt.h>
 
 #include <boost/json.hpp>
@@ -49,11 +51,7 @@
 described describe(const configuration& config)
 {
     return {.name = "",
-            .values = {{"version", std::to_string(config.version)},
-                       {"max_vms", std::to_string(config.max_vms)},
-                       {"pool_groups", std::to_string(config.pool_groups)},
-                       {"lease_term", milliseconds(config.lease_term)},
-                       {"idempotency_window", milliseconds(config.idempotency_window)}}};
+            .values = {{"version", std::to_string(config.version)}}};
 }
 
 described describe(const region& value)
@@ -71,8 +69,7 @@
 {
     described out{.name = value.name,
                   .values = {{"rate", fmt::format("{}", value.rate)},
-                             {"burst", fmt::format("{}", value.burst)},
-                             {"seat_fraction", fmt::format("{}", value.seat_fraction)}}};
+                             {"burst", fmt::format("{}", value.burst)}}};
     for (const core::digest& key : value.keys)
     {
         out.keys.push_back(short_digest(key));
@@ -84,18 +81,34 @@
 {
     return {.name = value.name,
             .values = {{"slots", std::to_string(value.slots)},
-                       {"cold_allowance", std::to_string(value.cold_allowance)},
-                       {"max_connections", std::to_string(value.max_connections)}}};
+                       {"max_connections", std::to_string(value.max_connections)},
+                       {"health_path", value.health_path},
+                       {"warmup", milliseconds(value.warmup)},
+                       {"warmup_rate", fmt::format("{}", value.warmup_rate)}}};
+}
+
+std::string describe_split(const std::vector<split_part>& split)
+{
+    std::string out;
+    for (const split_part& part : split)
+    {
+        out += fmt::format("{}{}:{}", out.empty() ? "" : "+", part.service, part.weight);
+    }
+    return out;
 }
 
 described describe(const route& value)
 {
     return {.name = value.prefix,
-            .values = {{"service", value.service},
-                       {"class", to_string(value.priority)},
+            .values = {{"host", value.host},
+                       {"service", value.service},
+                       {"split", describe_split(value.split)},
+                       {"class", std::string(class_name(value.rank))},
                        {"idempotent", yes_or_no(value.idempotent)},
                        {"open", yes_or_no(value.open)},
-                       {"timeout", milliseconds(value.timeout)}}};
+                       {"attempts", std::to_string(value.attempts)},
+                       {"timeout", milliseconds(value.timeout)},
+                       {"objective", milliseconds(value.objective)}}};
 }
 
 template <class Entry>
--- a/src/config/printer.cpp
+++ b/src/config/printer.cpp
@@ -72,8 +72,8 @@
         fmt::format_to(output(out), R"({}"{}")", separator, core::to_hex(key));
         separator = ",";
     }
-    fmt::format_to(output(out), R"(],"rate":{},"burst":{},"seat_fraction":{}}})",
-                   number(value.rate), number(value.burst), number(value.seat_fraction));
+    fmt::format_to(output(out), R"(],"rate":{},"burst":{}}})", number(value.rate),
+                   number(value.burst));
 }
 
 // The default of `leaving` is left out: there may be 17,000 servers in a document of 1 MB. Their
@@ -109,19 +109,49 @@
 void append(std::string& out, const service& value)
 {
     fmt::format_to(output(out),
-                   R"({{"name":{},"slots":{},"cold_allowance":{},"max_connections":{},"servers":)",
-                   quoted(value.name), value.slots, value.cold_allowance, value.max_connections);
+                   R"({{"name":{},"slots":{},"max_connections":{},"health_path":{},)"
+                   R"("warmup_ms":{},"warmup_rate":{},"servers":)",
+                   quoted(value.name), value.slots, value.max_connections,
+                   quoted(value.health_path), milliseconds(value.warmup),
+                   number(value.warmup_rate));
     append_list(out, value.servers);
     out += "}";
 }
 
+void append_split(std::string& out, const std::vector<split_part>& split)
+{
+    out += R"("split":[)";
+    const char* separator = "";
+    for (const split_part& part : split)
+    {
+        fmt::format_to(output(out), R"({}{{"service":{},"weight":{}}})", separator,
+                       quoted(part.service), number(part.weight));
+        separator = ",";
+    }
+    out += "],";
+}
+
 void append(std::string& out, const route& value)
 {
-    fmt::format_to(
-        output(out),
-        R"({{"prefix":{},"service":{},"class":"{}","idempotent":{},"open":{},"timeout_ms":{}}})",
-        quoted(value.prefix), quoted(value.service), to_string(value.priority), value.idempotent,
-        value.open, milliseconds(value.timeout));
+    out += "{";
+    if (!value.host.empty())
+    {
+        fmt::format_to(output(out), R"("host":{},)", quoted(value.host));
+    }
+    fmt::format_to(output(out), R"("prefix":{},)", quoted(value.prefix));
+    if (value.split.empty())
+    {
+        fmt::format_to(output(out), R"("service":{},)", quoted(value.service));
+    }
+    else
+    {
+        append_split(out, value.split);
+    }
+    fmt::format_to(output(out),
+                   R"("class":"{}","idempotent":{},"open":{},"attempts":{},"timeout_ms":{},)"
+                   R"("objective_ms":{}}})",
+                   class_name(value.rank), value.idempotent, value.open, value.attempts,
+                   milliseconds(value.timeout), milliseconds(value.objective));
 }
 
 template <class Entry>
@@ -141,13 +171,16 @@
 
 } // namespace
 
+std::string_view class_name(std::uint32_t rank)
+{
+    constexpr std::array<std::string_view, 3> names{"order", "lookup", "browse"};
+    return names.at(std::min<std::size_t>(rank, names.size() - 1));
+}
+
 std::string print(const configuration& config)
 {
     std::string out =
-        fmt::format("{{\n\"version\":{},\n\"max_vms\":{},\n\"pool_groups\":{},\n"
-                    "\"lease_term_ms\":{},\n\"idempotency_window_ms\":{}",
-                    config.version, config.max_vms, config.pool_groups,
-                    milliseconds(config.lease_term), milliseconds(config.idempotency_window));
+        fmt::format("{{\n\"version\":{}", config.version);
     append_section(out, "regions", config.regions);
     append_section(out, "data_centres", config.data_centres);
     append_section(out, "accounts", config.accounts);
--- a/src/config/printer.hpp
+++ b/src/config/printer.hpp
@@ -4,10 +4,15 @@
 #include "config/model.hpp"
 
 #include <string>
+#include <string_view>
 
 namespace zinniaferry::config
 {
 
+/// Returns the class that stands for the rank in a configuration: "order", "lookup" or "browse".
+/// Thread safe.
+std::string_view class_name(std::uint32_t rank);
+
 /// Returns the canonical text: the fields in the order of the model, the entries in the order
 /// given, one entry a line. `read_configuration` of it gives an equal configuration when the
 /// configuration is valid. Thread safe.
--- a/src/config/reader.hpp
+++ b/src/config/reader.hpp
@@ -15,13 +15,6 @@
 
 /// Bounds of the numbers in a configuration. A JSON number keeps integers exactly up to 2^53.
 inline constexpr std::uint64_t max_version = (1ULL << 53U) - 1;
-inline constexpr std::uint32_t max_max_vms = 4096;
-inline constexpr std::uint32_t max_pool_groups = 256;
-inline constexpr core::duration min_lease_term = std::chrono::milliseconds(100);
-/// Voters acknowledge for 10 s, so a holder could not use a longer term.
-inline constexpr core::duration max_lease_term = std::chrono::seconds(10);
-inline constexpr core::duration min_idempotency_window = std::chrono::seconds(1);
-inline constexpr core::duration max_idempotency_window = std::chrono::hours(24);
 inline constexpr double min_weight = 0.001;
 inline constexpr double max_weight = 1000;
 inline constexpr double min_rate = 0.001; ///< Requests a second.
@@ -31,6 +24,9 @@
 inline constexpr std::size_t max_keys_per_account = 2;
 inline constexpr std::uint32_t max_slots = 10000;
 inline constexpr std::uint32_t max_max_connections = 100000;
+inline constexpr core::duration max_warmup = std::chrono::minutes(10);
+inline constexpr std::uint32_t max_attempts = 10;
+inline constexpr std::size_t max_host_length = 253; ///< Characters.
 inline constexpr core::duration min_timeout = std::chrono::milliseconds(1);
 inline constexpr core::duration max_timeout = std::chrono::minutes(10);
 inline constexpr std::size_t max_prefix_length = 256; ///< Characters.
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -9,6 +9,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace zinniaferry::config
 {
@@ -17,14 +18,7 @@
 /// Shorter secrets can be guessed; in characters.
 inline constexpr std::size_t min_secret_length = 16;
 inline constexpr std::size_t max_secret_length = 256;
-
-enum class log_level
-{
-    debug,
-    info,
-    warning,
-    error
-};
+inline constexpr std::size_t max_seeds = 16;
 
 enum class log_format
 {
@@ -35,7 +29,7 @@
 /// Where logs go. There is no file: VMs have no disks.
 enum class log_sink
 {
-    standard_error,
+    standard_output,
     syslog
 };
 
@@ -48,12 +42,13 @@
     std::string admin_listen; ///< As `listen`, for the admin listener.
     std::string peer_listen;  ///< As `listen`, for the other daemons of the fleet.
     std::string platform;     ///< IP number and port of the configuration service.
-    std::string peer_secret;  ///< Shared by the daemons of a fleet.
+    /// Peer addresses of some daemons, through which this one finds the others. They may be out of
+    /// date; at most `max_seeds`.
+    std::vector<std::string> seeds;
     std::string admin_credential; ///< Bearer credential of the admin listener.
-    log_level level = log_level::info;
-    log_format format = log_format::text;
-    log_sink sink = log_sink::standard_error;
-    core::duration stop_grace = std::chrono::seconds(5);
+    log_format format = log_format::json;
+    log_sink sink = log_sink::standard_output;
+    core::duration stop_grace = std::chrono::seconds(6); ///< From the signal to the exit.
 
     bool operator==(const settings&) const = default;
 };
--- a/src/limits/account_shares.cpp
+++ b/src/limits/account_shares.cpp
@@ -85,7 +85,7 @@
 
 } // namespace
 
-void apply_configuration(account_shares& shares, const config::configuration& config,
+void apply_configuration(account_shares& shares, const config::configuration& config, double part,
                          core::time_point now)
 {
     std::unordered_map<std::string, account_share> next;
@@ -100,8 +100,8 @@
             fill(shares, account.name, known->second, now);
             share = known->second;
         }
-        share.rate = account.rate;
-        share.burst = account.burst;
+        share.rate = account.rate * part;
+        share.burst = account.burst * part;
         next.emplace(account.name, share);
     }
     shares.accounts = std::move(next);
--- a/src/limits/account_shares.hpp
+++ b/src/limits/account_shares.hpp
@@ -55,9 +55,9 @@
 
 /// All functions: one thread at a time.
 
-/// Takes over rates and bursts; buckets of accounts that stay keep their tokens up to the new
-/// size.
-void apply_configuration(account_shares& shares, const config::configuration& config,
+/// Takes over rates and bursts, of which `part` belongs to this region; buckets of accounts that
+/// stay keep their tokens up to the new size.
+void apply_configuration(account_shares& shares, const config::configuration& config, double part,
                          core::time_point now);
 
 void set_fleet(account_shares& shares, fleet_demand fleet, core::time_point now);
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -199,7 +199,7 @@
     out.healthy = answer.result_int() == 200;
     out.right_server = header_value(answer.base(), profile_.server_id) == server_id;
     out.load =
-        routing::parse_load(header_value(answer.base(), profile_.load), connection->last_answer);
+        profile_.parse_load(header_value(answer.base(), profile_.load), connection->last_answer);
     out.warmup_left = read_seconds(header_value(answer.base(), profile_.warmup_left));
     connection->reusable = connection->reusable && out.right_server;
     co_return out;
@@ -211,7 +211,8 @@
     {
         return exchange_end::wrong_server;
     }
-    if (!header_value(answer.base(), profile_.not_run).empty())
+    const std::string_view not_run = header_value(answer.base(), profile_.not_run);
+    if (!not_run.empty() && (profile_.not_run_value.empty() || not_run == profile_.not_run_value))
     {
         return exchange_end::not_run;
     }
--- /dev/null
+++ b/src/net/daemon.cpp
@@ -0,0 +1,391 @@
+#include "net/daemon.hpp"
+
+#include "core/digest.hpp"
+#include "net/caller_session.hpp"
+#include "net/gateway_metrics.hpp"
+#include "net/hub_links.hpp"
+#include "net/process_lifecycle.hpp"
+#include "net/status_listener.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <csignal>
+#include <random>
+#include <system_error>
+
+namespace zinniaferry::net
+{
+
+namespace
+{
+
+using boost::system::error_code;
+
+constexpr core::duration maintenance_interval = std::chrono::milliseconds(500);
+/// Settings may change without a signal.
+constexpr core::duration settings_interval = std::chrono::seconds(5);
+/// The balancer in front asks for readiness once a second, and two misses take the daemon out.
+constexpr core::duration entry_notices = std::chrono::milliseconds(2600);
+/// Kept free at the end of the grace given for a stop.
+constexpr core::duration exit_margin = std::chrono::milliseconds(500);
+/// Requests that come later would not end within the grace.
+constexpr core::duration last_request_margin = std::chrono::milliseconds(2000);
+constexpr core::duration stop_step = std::chrono::milliseconds(20);
+
+auto into(error_code& error)
+{
+    return asio::redirect_error(asio::use_awaitable, error);
+}
+
+std::uint64_t random_number()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+core::result<void> listen(asio::ip::tcp::acceptor& acceptor, const std::string& address)
+{
+    const auto endpoint = read_endpoint(address);
+    if (!endpoint)
+    {
+        return boost::leaf::new_error(listen_error{address, EINVAL});
+    }
+    error_code error;
+    acceptor.open(endpoint->protocol(), error);
+    acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    acceptor.bind(*endpoint, error);
+    if (!error)
+    {
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error)
+    {
+        return boost::leaf::new_error(listen_error{address, error.value()});
+    }
+    return {};
+}
+
+/// Everything of one process. Members are destroyed in reverse order, so what others refer to
+/// stands first.
+class daemon
+{
+public:
+    daemon(const daemon_options& options, const platform_adapter& adapter)
+        : options_(options), adapter_(adapter), settings_(options.settings),
+          gateway_(io_, options.profile,
+                   {.vm = options.vm,
+                    .data_centre = options.data_centre,
+                    .region = options.region,
+                    .log = options.log,
+                    .random_seed = random_number()}),
+          sessions_{.gateway = gateway_}, links_(io_, {options.vm, options.peer_address},
+                                                 random_number(), replica_, gateway_.log,
+                                                 link_events())
+    {
+        apply_settings();
+    }
+
+    core::result<void> run()
+    {
+        asio::ip::tcp::acceptor callers(io_);
+        asio::ip::tcp::acceptor peers(io_);
+        asio::ip::tcp::acceptor ready(io_);
+        asio::ip::tcp::acceptor admin(io_);
+        BOOST_LEAF_CHECK(listen(callers, options_.caller_address));
+        BOOST_LEAF_CHECK(listen(peers, options_.peer_address));
+        if (!options_.ready_address.empty())
+        {
+            BOOST_LEAF_CHECK(listen(ready, options_.ready_address));
+            spawn(serve_status(ready, [this](const status_request&) { return readiness(); }));
+        }
+        if (!options_.admin_address.empty())
+        {
+            BOOST_LEAF_CHECK(listen(admin, options_.admin_address));
+            spawn(serve_status(admin, [this](const status_request& request)
+                               { return answer_admin(request); }));
+        }
+        gateway_.log.write("daemon", "started",
+                           {{"callers", options_.caller_address},
+                            {"data_centre", options_.data_centre},
+                            {"seeds", settings_.seeds.size()}});
+        spawn(accept_callers(sessions_, callers));
+        spawn(links_.serve(peers));
+        spawn(links_.run());
+        spawn(adapter_.follow({.io = io_,
+                               .replica = replica_,
+                               .log = gateway_.log,
+                               .changed = [this](const std::vector<fleet::entry_change>& changes)
+                               { take(changes); },
+                               .wanted = [this] { return links_.must_follow_platform(); }}));
+        spawn(maintain_regularly());
+        spawn(follow_settings());
+        spawn(wait_for_stop());
+        io_.run();
+        gateway_.log.write("daemon", "stopped", {{"connections", sessions_.open}});
+        return {};
+    }
+
+private:
+    void spawn(asio::awaitable<void> task) { asio::co_spawn(io_, std::move(task), asio::detached); }
+
+    asio::awaitable<void> pause(core::duration time)
+    {
+        asio::steady_timer timer(io_, time);
+        error_code ignored;
+        co_await timer.async_wait(into(ignored));
+    }
+
+    void apply_settings()
+    {
+        const fleet_bounds& bounds = settings_.bounds;
+        gateway_.accounts.options = bounds.accounts;
+        gateway_.repeats.options = {.ratio = bounds.repeat_ratio, .slack = bounds.repeat_slack};
+        gateway_.backends.options.cold_overage = bounds.cold_overage;
+        gateway_.backends.options.cold_slack = bounds.cold_slack;
+        links_.set_seeds(settings_.seeds);
+    }
+
+    hub_events link_events()
+    {
+        return {.changed = [this](const std::vector<fleet::entry_change>& changes)
+                { take(changes); },
+                .fleet = [this](const fleet::fleet_message& fleet) { take_fleet(fleet); },
+                .own_demand = [this] { return own_demand(); }};
+    }
+
+    std::vector<fleet::account_demand> own_demand() const
+    {
+        std::vector<fleet::account_demand> out;
+        for (const auto& [account, rate] :
+             limits::own_demand(gateway_.accounts, core::elapsed_now()))
+        {
+            out.push_back({account, rate});
+        }
+        return out;
+    }
+
+    void take_fleet(const fleet::fleet_message& message)
+    {
+        limits::fleet_demand demand;
+        demand.members_heard = message.members.size();
+        demand.members_known = message.members_known;
+        demand.settled = message.settled;
+        for (const fleet::account_demand& entry : message.demand)
+        {
+            demand.requests_per_s.emplace(entry.account, entry.requests_per_s);
+        }
+        limits::set_fleet(gateway_.accounts, std::move(demand), core::elapsed_now());
+        std::vector<std::string> members;
+        for (const fleet::member& entry : message.members)
+        {
+            members.push_back(entry.vm);
+        }
+        set_members(gateway_, std::move(members), message.members_known);
+    }
+
+    // Brings changed entries to the gateway, and to the subscribers.
+    void take(const std::vector<fleet::entry_change>& changes)
+    {
+        for (const fleet::entry_change& change : changes)
+        {
+            take_change(change);
+        }
+        if (!changes.empty())
+        {
+            links_.publish();
+        }
+        if (replica_.complete && gateway_.configuration &&
+            lifecycle_.state() == process_state::starting)
+        {
+            lifecycle_.apply(process_event::became_ready);
+            gateway_.log.write("daemon", "ready",
+                               {{"version", gateway_.configuration->config->version}});
+        }
+    }
+
+    void take_change(const fleet::entry_change& change)
+    {
+        const core::time_point now = core::elapsed_now();
+        const published_change meaning = adapter_.decode(change);
+        if (const auto* config =
+                std::get_if<std::shared_ptr<const config::configuration>>(&meaning))
+        {
+            apply_configuration(gateway_, *config, now);
+        }
+        else if (const auto* server = std::get_if<routing::listed_backend>(&meaning))
+        {
+            list_server(gateway_, *server, now);
+        }
+        else if (const auto* removed = std::get_if<removed_server>(&meaning))
+        {
+            remove_server(gateway_, removed->id);
+        }
+        else if (const auto* data_centre = std::get_if<data_centre_change>(&meaning))
+        {
+            set_data_centre(gateway_, data_centre->name, data_centre->in_service, now);
+        }
+        else if (std::holds_alternative<unreadable_entry>(meaning))
+        {
+            gateway_.log.write("platform", "unreadable",
+                               {{"key", change.key}, {"revision", change.revision}});
+        }
+    }
+
+    asio::awaitable<void> maintain_regularly()
+    {
+        while (true)
+        {
+            co_await pause(maintenance_interval);
+            const core::time_point now = core::elapsed_now();
+            take(fleet::expire_missing(replica_, now));
+            maintain(gateway_, now);
+        }
+    }
+
+    asio::awaitable<void> follow_settings()
+    {
+        asio::signal_set hangup(io_, SIGHUP);
+        asio::steady_timer timer(io_);
+        while (options_.reload)
+        {
+            timer.expires_after(settings_interval);
+            hangup.async_wait([&timer](error_code error, int) { error ? 0 : timer.cancel(); });
+            error_code ended;
+            co_await timer.async_wait(into(ended));
+            hangup.cancel();
+            if (const auto read = options_.reload())
+            {
+                settings_ = *read;
+                apply_settings();
+            }
+            if (ended)
+            {
+                gateway_.log.write("daemon", "reloaded", {{"seeds", settings_.seeds.size()}});
+            }
+        }
+    }
+
+    asio::awaitable<void> wait_for_stop()
+    {
+        asio::signal_set signals(io_, SIGTERM, SIGINT);
+        error_code error;
+        co_await signals.async_wait(into(error));
+        co_await stop();
+    }
+
+    // Readiness goes first; callers that still come are served until the balancer has noticed.
+    asio::awaitable<void> stop()
+    {
+        const core::time_point begun = core::elapsed_now();
+        lifecycle_.apply(process_event::stop_asked);
+        gateway_.closing = true;
+        gateway_.log.write("daemon", "stopping",
+                           {{"requests_in_progress", gateway_.requests_in_progress}});
+        const core::time_point exit_at = begun + settings_.stop_grace - exit_margin;
+        co_await pause(std::min(entry_notices, settings_.stop_grace / 2));
+        lifecycle_.apply(process_event::grace_passed);
+        const core::time_point refuse_from = begun + settings_.stop_grace - last_request_margin;
+        close_idle_sessions(sessions_);
+        while (sessions_.open > 0 && core::elapsed_now() < exit_at)
+        {
+            co_await pause(stop_step);
+            gateway_.refusing = core::elapsed_now() >= refuse_from;
+            close_idle_sessions(sessions_);
+        }
+        lifecycle_.apply(process_event::work_finished);
+        io_.stop();
+    }
+
+    status_answer readiness() const
+    {
+        const bool ready = lifecycle_.state() == process_state::serving;
+        return ready ? status_answer{200, "text/plain", "ready\n"}
+                     : status_answer{503, "text/plain", "not ready\n"};
+    }
+
+    bool is_operator(const status_request& request) const
+    {
+        const std::string expected = "Bearer " + options_.admin_credential;
+        return !options_.admin_credential.empty() &&
+               core::equal_in_constant_time(core::sha256(request.authorization),
+                                            core::sha256(expected));
+    }
+
+    status_answer answer_admin(const status_request& request) const
+    {
+        if (request.path == "/metrics")
+        {
+            return {200, "text/plain; version=0.0.4", metrics()};
+        }
+        if (request.path == "/healthz")
+        {
+            return {200, "text/plain", "ok\n"};
+        }
+        if (request.path == "/readyz")
+        {
+            return readiness();
+        }
+        if (!is_operator(request))
+        {
+            return {401, "application/json", R"({"error":"unauthorized"})"};
+        }
+        if (request.path == "/state")
+        {
+            return {.body = boost::json::serialize(dump())};
+        }
+        return {404, "application/json", R"({"error":"unknown_path"})"};
+    }
+
+    std::string metrics() const
+    {
+        return print_metrics(gateway_, {.caller_connections = sessions_.open,
+                                        .platform_calls = adapter_.calls(),
+                                        .replica_revision = replica_.revision,
+                                        .peer_bytes_in = links_.counters().bytes_in,
+                                        .peer_bytes_out = links_.counters().bytes_out});
+    }
+
+    boost::json::object dump() const
+    {
+        const core::time_point now = core::elapsed_now();
+        boost::json::object out = net::dump(gateway_, now);
+        out["process_state"] = to_string(lifecycle_.state());
+        out["caller_connections"] = sessions_.open;
+        out["peers"] = links_.dump();
+        out["replica"] = {{"revision", replica_.revision},
+                          {"entries", replica_.entries.size()},
+                          {"missing", replica_.missing.size()},
+                          {"age_ms", core::to_seconds(now - replica_.current_at) * 1e3}};
+        return out;
+    }
+
+    const daemon_options& options_;
+    const platform_adapter& adapter_;
+    changeable_settings settings_;
+    asio::io_context io_{1};
+    process_lifecycle lifecycle_;
+    gateway gateway_;
+    caller_sessions sessions_;
+    fleet::replica replica_;
+    hub_links links_;
+};
+
+} // namespace
+
+std::string to_string(const listen_error& error)
+{
+    return "cannot listen on " + error.address + ": " +
+           std::generic_category().message(error.error_number);
+}
+
+core::result<void> run_daemon(const daemon_options& options, const platform_adapter& adapter)
+{
+    const auto process = std::make_unique<daemon>(options, adapter);
+    return process->run();
+}
+
+} // namespace zinniaferry::net
--- a/src/net/event_log.cpp
+++ b/src/net/event_log.cpp
@@ -3,6 +3,7 @@
 #include <boost/json/serialize.hpp>
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/sinks/syslog_sink.h>
 #include <spdlog/spdlog.h>
 
 #include <chrono>
@@ -22,15 +23,37 @@
         .count();
 }
 
+spdlog::sink_ptr make_sink(config::log_sink kind)
+{
+    if (kind == config::log_sink::syslog)
+    {
+        return std::make_shared<spdlog::sinks::syslog_sink_mt>("zinniaferry", LOG_PID, LOG_DAEMON,
+                                                               false);
+    }
+    return std::make_shared<spdlog::sinks::stdout_sink_mt>();
+}
+
+std::string print_text(const boost::json::object& line)
+{
+    std::string out;
+    for (const auto& [name, value] : line)
+    {
+        out += out.empty() ? "" : " ";
+        out.append(name.data(), name.size());
+        out += '=';
+        out += boost::json::serialize(value);
+    }
+    return out;
+}
+
 } // namespace
 
 struct event_log::writer
 {
-    writer()
+    explicit writer(config::log_sink sink)
         : pool(std::make_shared<spdlog::details::thread_pool>(queue_lines, 1)),
           logger(std::make_shared<spdlog::async_logger>(
-              "events", std::make_shared<spdlog::sinks::stdout_sink_mt>(), pool,
-              spdlog::async_overflow_policy::overrun_oldest))
+              "events", make_sink(sink), pool, spdlog::async_overflow_policy::overrun_oldest))
     {
         logger->set_pattern("%v");
         logger->flush_on(spdlog::level::info);
@@ -44,7 +67,7 @@
 {
     if (options_.enabled)
     {
-        writer_ = std::make_unique<writer>();
+        writer_ = std::make_unique<writer>(options_.sink);
     }
 }
 
@@ -100,7 +123,8 @@
 
 void event_log::emit(const boost::json::object& line)
 {
-    writer_->logger->info("{}", boost::json::serialize(line));
+    const bool text = options_.format == config::log_format::text;
+    writer_->logger->info("{}", text ? print_text(line) : boost::json::serialize(line));
 }
 
 } // namespace zinniaferry::net
--- a/src/net/event_log.hpp
+++ b/src/net/event_log.hpp
@@ -1,7 +1,8 @@
-/// Structured log: one JSON line on standard output for each decision, with a bounded number of
-/// lines for each kind and second. Writing never blocks the caller.
+/// Structured log: one line for each decision, as JSON or as text for a terminal, with a bounded
+/// number of lines for each kind and second. Writing never blocks the caller.
 #pragma once
 
+#include "config/settings.hpp"
 #include "core/time.hpp"
 
 #include <boost/json/object.hpp>
@@ -19,6 +20,8 @@
 {
     std::string vm;
     bool enabled = true;
+    config::log_format format = config::log_format::json;
+    config::log_sink sink = config::log_sink::standard_output;
     std::uint32_t lines_per_kind_and_s = 100;
 };
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -39,11 +39,49 @@
     gateway.pool.put_back(*server, connection);
 }
 
+routing::listed_backend to_listing(const config::service& service,
+                                   const config::backend_server& server)
+{
+    return {.id = server.name,
+            .service = service.name,
+            .address = server.address,
+            .data_centre = server.data_centre,
+            .slots = service.slots,
+            .draining = server.leaving};
+}
+
+// A configuration may list data centres and servers itself; on some platforms they are published
+// apart from it.
+void apply_places(gateway& gateway, const config::configuration& config, core::time_point now)
+{
+    for (const config::data_centre& entry : config.data_centres)
+    {
+        set_data_centre(gateway, entry.name, entry.in_service, now);
+    }
+    std::unordered_set<std::string> listed;
+    for (const config::service& service : config.services)
+    {
+        for (const config::backend_server& server : service.servers)
+        {
+            list_server(gateway, to_listing(service, server), now);
+            listed.insert(server.name);
+        }
+    }
+    for (const std::string& id : gateway.document_servers)
+    {
+        if (!listed.contains(id))
+        {
+            remove_server(gateway, id);
+        }
+    }
+    gateway.document_servers = std::move(listed);
+}
+
 } // namespace
 
 gateway::gateway(asio::io_context& context, http_profile http, gateway_options how)
     : io(context), profile(std::move(http)), options(std::move(how)), pool(io, profile),
-      log({.vm = options.vm, .enabled = options.log_events}), random(options.random_seed)
+      log(options.log), random(options.random_seed)
 {
     backends.options.self = options.vm;
     backends.options.data_centre = options.data_centre;
@@ -60,18 +98,84 @@
     }
     gateway.log.write("configuration", "in_force",
                       {{"version", config->version}, {"before", present}});
-    limits::apply_configuration(gateway.accounts, *config, now);
+    limits::apply_configuration(gateway.accounts, *config,
+                                config::region_part(*config, gateway.options.region), now);
     for (const config::service& service : config->services)
     {
         routing::service_pace& pace = gateway.backends.pace[service.name];
         pace.warmup_rate = service.warmup_rate;
         pace.warmup = service.warmup;
     }
+    apply_places(gateway, *config, now);
     gateway.configuration =
         std::make_shared<const config::index>(config::make_index(std::move(config)));
     return true;
 }
 
+void list_server(gateway& gateway, const routing::listed_backend& server, core::time_point now)
+{
+    const auto known = gateway.backends.by_id.find(server.id);
+    const bool changed =
+        known == gateway.backends.by_id.end() || known->second->listed != server;
+    routing::apply_listing(gateway.backends, server, now);
+    if (changed)
+    {
+        gateway.log.write("servers", "listed",
+                          {{"server", server.id},
+                           {"service", server.service},
+                           {"draining", server.draining},
+                           {"warmup_ms", core::to_seconds(server.warmup_left) * 1e3}});
+    }
+}
+
+void remove_server(gateway& gateway, const std::string& id)
+{
+    routing::remove_listing(gateway.backends, id);
+    gateway.log.write("servers", "removed", {{"server", id}});
+}
+
+void set_data_centre(gateway& gateway, const std::string& name, bool in_service,
+                     core::time_point now)
+{
+    std::unordered_set<std::string> out = gateway.backends.data_centres_out;
+    if (in_service != out.contains(name))
+    {
+        return;
+    }
+    if (in_service)
+    {
+        out.erase(name);
+    }
+    else
+    {
+        out.insert(name);
+    }
+    gateway.log.write("servers", in_service ? "data_centre_in" : "data_centre_out",
+                      {{"data_centre", name}});
+    routing::set_data_centres_out(gateway.backends, std::move(out), now);
+}
+
+boost::json::object dump(const gateway& gateway, core::time_point now)
+{
+    boost::json::object out;
+    out["vm"] = gateway.options.vm;
+    out["configuration_version"] =
+        gateway.configuration ? gateway.configuration->config->version : 0;
+    out["requests"] = gateway.counters.requests;
+    std::uint64_t refused = 0;
+    for (const std::uint64_t count : gateway.counters.refused)
+    {
+        refused += count;
+    }
+    out["refused"] = refused;
+    out["requests_in_progress"] = gateway.requests_in_progress;
+    out["idle_backend_connections"] = gateway.pool.idle_count();
+    out["members"] = gateway.backends.members.size();
+    out["limits"] = limits::dump(gateway.accounts, now);
+    out["servers"] = routing::dump(gateway.backends, now);
+    return out;
+}
+
 void set_members(gateway& gateway, std::vector<std::string> members, std::size_t known)
 {
     gateway.repeats.members = std::max(members.size(), known);
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -23,7 +23,8 @@
 {
     std::string vm;
     std::string data_centre;
-    bool log_events = true;
+    std::string region; ///< Empty when rates are not divided between regions.
+    event_log_options log;
     std::uint64_t random_seed = 1;
 };
 
@@ -54,6 +55,7 @@
     core::random_generator random;
     request_durations durations;
     gateway_counters counters;
+    std::unordered_set<std::string> document_servers; ///< Listed by the configuration itself.
     std::size_t requests_in_progress = 0;
     bool closing = false;  ///< Connections end after the answer at hand.
     bool refusing = false; ///< New requests are refused, because the daemon is about to exit.
@@ -64,6 +66,17 @@
 bool apply_configuration(gateway& gateway, std::shared_ptr<const config::configuration> config,
                          core::time_point now);
 
+/// Takes over what the platform lists of a backend server.
+void list_server(gateway& gateway, const routing::listed_backend& server, core::time_point now);
+void remove_server(gateway& gateway, const std::string& id);
+
+/// Takes a data centre out, or back in.
+void set_data_centre(gateway& gateway, const std::string& name, bool in_service,
+                     core::time_point now);
+
+/// Returns the state for operators.
+boost::json::object dump(const gateway& gateway, core::time_point now);
+
 /// Sets the members of the fleet that are heard now, this daemon included, and the number of those
 /// known lately. They share limits and cold servers.
 void set_members(gateway& gateway, std::vector<std::string> members, std::size_t known);
--- a/src/net/gateway_metrics.cpp
+++ b/src/net/gateway_metrics.cpp
@@ -48,6 +48,10 @@
           number(gateway.pool.counters.probes));
     print(out, "counter", "zinnia_platform_calls_total", "Calls to the platform's store.",
           number(figures.platform_calls));
+    print(out, "counter", "zinnia_peer_bytes_received_total", "From other daemons.",
+          number(figures.peer_bytes_in));
+    print(out, "counter", "zinnia_peer_bytes_sent_total", "To other daemons.",
+          number(figures.peer_bytes_out));
     print(out, "counter", "zinnia_log_lines_left_out_total", "Log lines beyond the bound.",
           number(gateway.log.left_out()));
     print(out, "gauge", "zinnia_requests_in_progress", "Requests without an answer yet.",
--- a/src/net/gateway_metrics.hpp
+++ b/src/net/gateway_metrics.hpp
@@ -14,6 +14,8 @@
     std::size_t caller_connections = 0;
     std::uint64_t platform_calls = 0;
     std::uint64_t replica_revision = 0;
+    std::uint64_t peer_bytes_in = 0;
+    std::uint64_t peer_bytes_out = 0;
 };
 
 /// Returns the metrics page. Thread safety: the gateway's thread only.
--- a/src/net/http_profile.hpp
+++ b/src/net/http_profile.hpp
@@ -2,6 +2,8 @@
 /// and the backend connections are the same for every profile.
 #pragma once
 
+#include "routing/backends.hpp"
+
 #include <string>
 
 namespace zinniaferry::net
@@ -25,9 +27,15 @@
     std::string server_id = "X-Zinnia-Server-Id";
     std::string load = "X-Zinnia-Load";
     std::string warmup_left = "X-Zinnia-Warmup-Left";
-    std::string not_run = "X-Zinnia-Not-Run"; ///< Its presence states that the request did not run.
+    /// States that the request did not run, by this value, or by its presence if that is empty.
+    std::string not_run = "X-Zinnia-Outcome";
+    std::string not_run_value = "not-run";
+    routing::load_parser parse_load = routing::parse_named_load;
     /// Marks an answer as the server's own; empty when servers do not mark their answers.
     std::string signature;
+
+    /// To callers, with the daemon's own answers: "not-run" or "unknown"; empty for no such header.
+    std::string outcome = "X-Zinnia-Outcome";
 };
 
 } // namespace zinniaferry::net
--- a/src/net/message_rules.cpp
+++ b/src/net/message_rules.cpp
@@ -181,6 +181,10 @@
         answer.set(beast_view(profile.request_id), beast_view(request_id));
     }
     const bool not_run = request::promises_not_run(refusal.reason);
+    if (!profile.outcome.empty())
+    {
+        answer.set(profile.outcome, not_run ? "not-run" : "unknown");
+    }
     boost::json::object body = {{"error", request::to_string(refusal.reason)},
                                 {"outcome", not_run ? "not_run" : "unknown"}};
     if (refusal.retry_after > core::duration::zero())
--- a/src/net/request_flow.cpp
+++ b/src/net/request_flow.cpp
@@ -370,7 +370,7 @@
 {
     routing::backend& server = *entry.at.server;
     const core::time_point now = core::elapsed_now();
-    if (const auto load = routing::parse_load(
+    if (const auto load = gateway_.profile.parse_load(
             header_value(entry.result.answer->base(), gateway_.profile.load), now))
     {
         routing::on_reading(gateway_.backends, server, *load, core::duration::zero());
--- a/src/net/status_listener.cpp
+++ b/src/net/status_listener.cpp
@@ -43,9 +43,11 @@
             co_return;
         }
         const http_request request = parser.release();
-        const std::string_view path(request.target().data(), request.target().size());
+        const status_request asked = {
+            .path = {request.target().data(), request.target().size()},
+            .authorization = header_value(request.base(), "Authorization")};
         status_answer answer = request.method() == http::verb::get
-                                   ? handler(path)
+                                   ? handler(asked)
                                    : status_answer{405, "text/plain", "only GET\n"};
         http_response response(http::int_to_status(answer.status), request.version());
         response.set(http::field::content_type, answer.content_type);
--- a/src/net/status_listener.hpp
+++ b/src/net/status_listener.hpp
@@ -18,7 +18,14 @@
     std::string body;
 };
 
-using status_handler = std::function<status_answer(std::string_view path)>;
+/// The views are valid during the call only.
+struct status_request
+{
+    std::string_view path;
+    std::string_view authorization;
+};
+
+using status_handler = std::function<status_answer(const status_request&)>;
 
 /// Answers GET requests by `handler` until the acceptor is closed. Precondition: the acceptor
 /// outlives the operation. Thread safety: the acceptor's executor only.
--- a/src/routing/backends.hpp
+++ b/src/routing/backends.hpp
@@ -155,8 +155,14 @@
 /// A probe of a suspect server was answered well.
 void on_trial_passed(backend& server);
 
-/// Parses "running,waiting,slots[,slowdown in hundredths]". Returns nothing for other text.
-std::optional<load_reading> parse_load(std::string_view text, core::time_point now);
+/// Reads the load that a backend server reports in a header; nothing for other text. Thread safe.
+using load_parser = std::optional<load_reading> (*)(std::string_view text, core::time_point now);
+
+/// "running,waiting,slots[,slowdown in hundredths]".
+std::optional<load_reading> parse_listed_load(std::string_view text, core::time_point now);
+
+/// "inflight=I;queue=Q;slots=S;state=STATE".
+std::optional<load_reading> parse_named_load(std::string_view text, core::time_point now);
 
 boost::json::array dump(const backend_set& set, core::time_point now);
 
--- a/tutorial/lesson_01_first_configuration.cpp
+++ b/tutorial/lesson_01_first_configuration.cpp
@@ -16,10 +16,6 @@
     // The fleet accepts only higher versions, so every published document needs a new one.
     deployment.version = 1;
 
-    // No more than this many entry processes may ever run at once, replacements included. All
-    // majorities are counted from it, so it must not be too low.
-    deployment.max_vms = 3;
-
     // A data centre lies in a region. Rates are split between regions by weight; with one region
     // the weight has no effect.
     deployment.regions = {{.name = "hungary"}};
--- a/tutorial/lesson_02_rotating_a_key.cpp
+++ b/tutorial/lesson_02_rotating_a_key.cpp
@@ -17,7 +17,6 @@
 {
     return {
         .version = version,
-        .max_vms = 3,
         .regions = {{.name = "lanka"}},
         .data_centres = {{.name = "kandy-1", .region = "lanka"}},
         .accounts = {{.name = "mask-carvers", .keys = std::move(keys), .rate = 20, .burst = 60}},
--- a/tutorial/lesson_03_data_centre_out.cpp
+++ b/tutorial/lesson_03_data_centre_out.cpp
@@ -10,7 +10,7 @@
 
 int main()
 {
-    config::deployment deployment{.version = 12, .max_vms = 5};
+    config::deployment deployment{.version = 12};
     deployment.regions = {{.name = "hungary"}};
     deployment.data_centres = {{.name = "buda", .region = "hungary"},
                                // `in_service = false` is printed as the state `out`.
--- a/tutorial/lesson_04_routes_and_classes.cpp
+++ b/tutorial/lesson_04_routes_and_classes.cpp
@@ -9,11 +9,7 @@
 
 int main()
 {
-    config::deployment deployment{.version = 1, .max_vms = 5};
-
-    // Claims of idempotency keys are remembered this long. A caller that repeats an order later
-    // than that must label the repeat with the time at which it first sent it.
-    deployment.idempotency_window = 10min;
+    config::deployment deployment{.version = 1};
 
     deployment.regions = {{.name = "lanka"}};
     deployment.data_centres = {{.name = "kandy-1", .region = "lanka"},
@@ -30,24 +26,28 @@
              {.name = "catalogue", .count = 4, .data_centres = both, .first_port = 9011})}};
 
     deployment.routes = {
-        // An order is never sent a second time once any byte of it may have reached a server.
-        // Orders are the last requests to be shed when capacity is short.
+        // An order is never sent a second time once any byte of it may have reached a server,
+        // unless the server states that it did not run it.
         {.prefix = "/orders",
          .service = "orders",
-         .priority = config::request_class::order,
+         .rank = config::order_rank,
          .idempotent = false,
          .timeout = 3s},
-        // Reading the state of an order is idempotent; the longer prefix takes precedence.
-        {.prefix = "/orders/state", .service = "orders", .timeout = 500ms},
-        // Browsing is shed first.
+        // Reading the state of an order is idempotent; the longer prefix takes precedence. When the
+        // answer takes long, up to `attempts` servers are tried, well before the objective ends.
+        {.prefix = "/orders/state",
+         .service = "orders",
+         .attempts = 2,
+         .objective = 200ms,
+         .timeout = 500ms},
         {.prefix = "/catalogue",
          .service = "catalogue",
-         .priority = config::request_class::browse,
+         .rank = config::browse_rank,
          .timeout = 2s},
         // An open route needs no key, and no account's rate limits it.
         {.prefix = "/catalogue/front-page",
          .service = "catalogue",
-         .priority = config::request_class::browse,
+         .rank = config::browse_rank,
          .open = true}};
     return config::print_deployment(deployment);
 }
