--- a/src/fleet/hub.capnp
+++ b/src/fleet/hub.capnp
@@ -11,11 +11,6 @@
     revision @3 :UInt64;
 }
 
-struct Demand {
-    account @0 :Text;
-    requestsPerS @1 :Float32;
-}
-
 struct Member {
     vm @0 :Text;
     address @1 :Text;
@@ -29,7 +24,18 @@
 }
 
 struct Report {
-    demand @0 :List(Demand);
+    primary @0 :Bool;
+}
+
+struct Ask {
+    number @0 :UInt64;
+    account @1 :Text;
+}
+
+struct Grant {
+    number @0 :UInt64;
+    requests @1 :UInt32;
+    retryAfterUs @2 :UInt64;
 }
 
 struct Update {
@@ -41,9 +47,8 @@
 
 struct Fleet {
     membersKnown @0 :UInt32;
-    demand @1 :List(Demand);
-    members @2 :List(Member);
-    settled @3 :Bool;
+    members @1 :List(Member);
+    settled @2 :Bool;
 }
 
 struct HubMessage {
@@ -52,5 +57,7 @@
         report @1 :Report;
         update @2 :Update;
         fleet @3 :Fleet;
+        ask @4 :Ask;
+        grant @5 :Grant;
     }
 }
--- a/src/fleet/hub.capnp.h
+++ b/src/fleet/hub.capnp.h
@@ -17,10 +17,11 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(a4fc2a372667c4f5);
-CAPNP_DECLARE_SCHEMA(b574926c9bec9b83);
 CAPNP_DECLARE_SCHEMA(fe5c020307056a8c);
 CAPNP_DECLARE_SCHEMA(eaed290eb65e3159);
 CAPNP_DECLARE_SCHEMA(e00f6817d1c01cc7);
+CAPNP_DECLARE_SCHEMA(efe9a8329c46f6e3);
+CAPNP_DECLARE_SCHEMA(ec2d527241332842);
 CAPNP_DECLARE_SCHEMA(91e1793972b28854);
 CAPNP_DECLARE_SCHEMA(fb93a88c43c42846);
 CAPNP_DECLARE_SCHEMA(8026e00bb0434081);
@@ -47,60 +48,75 @@
   };
 };
 
-struct Demand {
-  Demand() = delete;
+struct Member {
+  Member() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b574926c9bec9b83, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(fe5c020307056a8c, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Member {
-  Member() = delete;
+struct Hello {
+  Hello() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fe5c020307056a8c, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(eaed290eb65e3159, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Hello {
-  Hello() = delete;
+struct Report {
+  Report() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eaed290eb65e3159, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(e00f6817d1c01cc7, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Report {
-  Report() = delete;
+struct Ask {
+  Ask() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e00f6817d1c01cc7, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(efe9a8329c46f6e3, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Grant {
+  Grant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ec2d527241332842, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -130,7 +146,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fb93a88c43c42846, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(fb93a88c43c42846, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -148,6 +164,8 @@
     REPORT,
     UPDATE,
     FLEET,
+    ASK,
+    GRANT,
   };
 
   struct _capnpPrivate {
@@ -261,9 +279,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Demand::Reader {
+class Member::Reader {
 public:
-  typedef Demand Reads;
+  typedef Member Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -278,10 +296,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAccount() const;
-  inline  ::capnp::Text::Reader getAccount() const;
+  inline bool hasVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
 
-  inline float getRequestsPerS() const;
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -295,9 +314,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Demand::Builder {
+class Member::Builder {
 public:
-  typedef Demand Builds;
+  typedef Member Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -311,15 +330,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAccount();
-  inline  ::capnp::Text::Builder getAccount();
-  inline void setAccount( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAccount(unsigned int size);
-  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
+  inline bool hasVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
 
-  inline float getRequestsPerS();
-  inline void setRequestsPerS(float value);
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -331,9 +354,9 @@
 };
 
 #if !CAPNP_LITE
-class Demand::Pipeline {
+class Member::Pipeline {
 public:
-  typedef Demand Pipelines;
+  typedef Member Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -347,9 +370,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Member::Reader {
+class Hello::Reader {
 public:
-  typedef Member Reads;
+  typedef Hello Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -370,6 +393,10 @@
   inline bool hasAddress() const;
   inline  ::capnp::Text::Reader getAddress() const;
 
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint64_t getRevision() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -382,9 +409,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Member::Builder {
+class Hello::Builder {
 public:
-  typedef Member Builds;
+  typedef Hello Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -412,6 +439,12 @@
   inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownAddress();
 
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -422,9 +455,9 @@
 };
 
 #if !CAPNP_LITE
-class Member::Pipeline {
+class Hello::Pipeline {
 public:
-  typedef Member Pipelines;
+  typedef Hello Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -438,9 +471,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Hello::Reader {
+class Report::Reader {
 public:
-  typedef Hello Reads;
+  typedef Report Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -455,15 +488,86 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasVm() const;
-  inline  ::capnp::Text::Reader getVm() const;
+  inline bool getPrimary() const;
 
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-  inline  ::uint64_t getIncarnation() const;
+class Report::Builder {
+public:
+  typedef Report Builds;
 
-  inline  ::uint64_t getRevision() const;
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getPrimary();
+  inline void setPrimary(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Report::Pipeline {
+public:
+  typedef Report Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Ask::Reader {
+public:
+  typedef Ask Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -477,9 +581,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Hello::Builder {
+class Ask::Builder {
 public:
-  typedef Hello Builds;
+  typedef Ask Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -493,25 +597,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasVm();
-  inline  ::capnp::Text::Builder getVm();
-  inline void setVm( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initVm(unsigned int size);
-  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownVm();
-
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
-
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -523,9 +617,9 @@
 };
 
 #if !CAPNP_LITE
-class Hello::Pipeline {
+class Ask::Pipeline {
 public:
-  typedef Hello Pipelines;
+  typedef Ask Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -539,9 +633,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Report::Reader {
+class Grant::Reader {
 public:
-  typedef Report Reads;
+  typedef Grant Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -556,8 +650,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDemand() const;
-  inline  ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>::Reader getDemand() const;
+  inline  ::uint64_t getNumber() const;
+
+  inline  ::uint32_t getRequests() const;
+
+  inline  ::uint64_t getRetryAfterUs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -571,9 +668,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Report::Builder {
+class Grant::Builder {
 public:
-  typedef Report Builds;
+  typedef Grant Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -587,12 +684,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDemand();
-  inline  ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>::Builder getDemand();
-  inline void setDemand( ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>::Builder initDemand(unsigned int size);
-  inline void adoptDemand(::capnp::Orphan< ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>> disownDemand();
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline  ::uint32_t getRequests();
+  inline void setRequests( ::uint32_t value);
+
+  inline  ::uint64_t getRetryAfterUs();
+  inline void setRetryAfterUs( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -604,9 +703,9 @@
 };
 
 #if !CAPNP_LITE
-class Report::Pipeline {
+class Grant::Pipeline {
 public:
-  typedef Report Pipelines;
+  typedef Grant Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -735,9 +834,6 @@
 
   inline  ::uint32_t getMembersKnown() const;
 
-  inline bool hasDemand() const;
-  inline  ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>::Reader getDemand() const;
-
   inline bool hasMembers() const;
   inline  ::capnp::List< ::zinniaferry::fleet::wire::Member,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
 
@@ -774,13 +870,6 @@
   inline  ::uint32_t getMembersKnown();
   inline void setMembersKnown( ::uint32_t value);
 
-  inline bool hasDemand();
-  inline  ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>::Builder getDemand();
-  inline void setDemand( ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>::Builder initDemand(unsigned int size);
-  inline void adoptDemand(::capnp::Orphan< ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>> disownDemand();
-
   inline bool hasMembers();
   inline  ::capnp::List< ::zinniaferry::fleet::wire::Member,  ::capnp::Kind::STRUCT>::Builder getMembers();
   inline void setMembers( ::capnp::List< ::zinniaferry::fleet::wire::Member,  ::capnp::Kind::STRUCT>::Reader value);
@@ -851,6 +940,14 @@
   inline bool hasFleet() const;
   inline  ::zinniaferry::fleet::wire::Fleet::Reader getFleet() const;
 
+  inline bool isAsk() const;
+  inline bool hasAsk() const;
+  inline  ::zinniaferry::fleet::wire::Ask::Reader getAsk() const;
+
+  inline bool isGrant() const;
+  inline bool hasGrant() const;
+  inline  ::zinniaferry::fleet::wire::Grant::Reader getGrant() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -912,6 +1009,22 @@
   inline void adoptFleet(::capnp::Orphan< ::zinniaferry::fleet::wire::Fleet>&& value);
   inline ::capnp::Orphan< ::zinniaferry::fleet::wire::Fleet> disownFleet();
 
+  inline bool isAsk();
+  inline bool hasAsk();
+  inline  ::zinniaferry::fleet::wire::Ask::Builder getAsk();
+  inline void setAsk( ::zinniaferry::fleet::wire::Ask::Reader value);
+  inline  ::zinniaferry::fleet::wire::Ask::Builder initAsk();
+  inline void adoptAsk(::capnp::Orphan< ::zinniaferry::fleet::wire::Ask>&& value);
+  inline ::capnp::Orphan< ::zinniaferry::fleet::wire::Ask> disownAsk();
+
+  inline bool isGrant();
+  inline bool hasGrant();
+  inline  ::zinniaferry::fleet::wire::Grant::Builder getGrant();
+  inline void setGrant( ::zinniaferry::fleet::wire::Grant::Reader value);
+  inline  ::zinniaferry::fleet::wire::Grant::Builder initGrant();
+  inline void adoptGrant(::capnp::Orphan< ::zinniaferry::fleet::wire::Grant>&& value);
+  inline ::capnp::Orphan< ::zinniaferry::fleet::wire::Grant> disownGrant();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1036,54 +1149,6 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Demand::Reader::hasAccount() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Demand::Builder::hasAccount() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Demand::Reader::getAccount() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Demand::Builder::getAccount() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Demand::Builder::setAccount( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Demand::Builder::initAccount(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Demand::Builder::adoptAccount(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Demand::Builder::disownAccount() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline float Demand::Reader::getRequestsPerS() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline float Demand::Builder::getRequestsPerS() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Demand::Builder::setRequestsPerS(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool Member::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1248,40 +1313,110 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Report::Reader::hasDemand() const {
+inline bool Report::Reader::getPrimary() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Report::Builder::getPrimary() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setPrimary(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Ask::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Ask::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Ask::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Ask::Reader::hasAccount() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Report::Builder::hasDemand() {
+inline bool Ask::Builder::hasAccount() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>::Reader Report::Reader::getDemand() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Ask::Reader::getAccount() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>::Builder Report::Builder::getDemand() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Ask::Builder::getAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Report::Builder::setDemand( ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Ask::Builder::setAccount( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>::Builder Report::Builder::initDemand(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder Ask::Builder::initAccount(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Report::Builder::adoptDemand(
-    ::capnp::Orphan< ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Ask::Builder::adoptAccount(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>> Report::Builder::disownDemand() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Ask::Builder::disownAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Grant::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Grant::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Grant::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Grant::Reader::getRequests() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Grant::Builder::getRequests() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Grant::Builder::setRequests( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Grant::Reader::getRetryAfterUs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Grant::Builder::getRetryAfterUs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Grant::Builder::setRetryAfterUs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Update::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1372,72 +1507,38 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Fleet::Reader::hasDemand() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Fleet::Builder::hasDemand() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>::Reader Fleet::Reader::getDemand() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>::Builder Fleet::Builder::getDemand() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Fleet::Builder::setDemand( ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>::Builder Fleet::Builder::initDemand(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Fleet::Builder::adoptDemand(
-    ::capnp::Orphan< ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>> Fleet::Builder::disownDemand() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::Demand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
 inline bool Fleet::Reader::hasMembers() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Fleet::Builder::hasMembers() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::zinniaferry::fleet::wire::Member,  ::capnp::Kind::STRUCT>::Reader Fleet::Reader::getMembers() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::zinniaferry::fleet::wire::Member,  ::capnp::Kind::STRUCT>::Builder Fleet::Builder::getMembers() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Fleet::Builder::setMembers( ::capnp::List< ::zinniaferry::fleet::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::zinniaferry::fleet::wire::Member,  ::capnp::Kind::STRUCT>::Builder Fleet::Builder::initMembers(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Fleet::Builder::adoptMembers(
     ::capnp::Orphan< ::capnp::List< ::zinniaferry::fleet::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::zinniaferry::fleet::wire::Member,  ::capnp::Kind::STRUCT>> Fleet::Builder::disownMembers() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Fleet::Reader::getSettled() const {
@@ -1679,6 +1780,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool HubMessage::Reader::isAsk() const {
+  return which() == HubMessage::ASK;
+}
+inline bool HubMessage::Builder::isAsk() {
+  return which() == HubMessage::ASK;
+}
+inline bool HubMessage::Reader::hasAsk() const {
+  if (which() != HubMessage::ASK) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HubMessage::Builder::hasAsk() {
+  if (which() != HubMessage::ASK) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::zinniaferry::fleet::wire::Ask::Reader HubMessage::Reader::getAsk() const {
+  KJ_IREQUIRE((which() == HubMessage::ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::zinniaferry::fleet::wire::Ask>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::zinniaferry::fleet::wire::Ask::Builder HubMessage::Builder::getAsk() {
+  KJ_IREQUIRE((which() == HubMessage::ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::zinniaferry::fleet::wire::Ask>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HubMessage::Builder::setAsk( ::zinniaferry::fleet::wire::Ask::Reader value) {
+  _builder.setDataField<HubMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, HubMessage::ASK);
+  ::capnp::_::PointerHelpers< ::zinniaferry::fleet::wire::Ask>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::zinniaferry::fleet::wire::Ask::Builder HubMessage::Builder::initAsk() {
+  _builder.setDataField<HubMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, HubMessage::ASK);
+  return ::capnp::_::PointerHelpers< ::zinniaferry::fleet::wire::Ask>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HubMessage::Builder::adoptAsk(
+    ::capnp::Orphan< ::zinniaferry::fleet::wire::Ask>&& value) {
+  _builder.setDataField<HubMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, HubMessage::ASK);
+  ::capnp::_::PointerHelpers< ::zinniaferry::fleet::wire::Ask>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::zinniaferry::fleet::wire::Ask> HubMessage::Builder::disownAsk() {
+  KJ_IREQUIRE((which() == HubMessage::ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::zinniaferry::fleet::wire::Ask>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool HubMessage::Reader::isGrant() const {
+  return which() == HubMessage::GRANT;
+}
+inline bool HubMessage::Builder::isGrant() {
+  return which() == HubMessage::GRANT;
+}
+inline bool HubMessage::Reader::hasGrant() const {
+  if (which() != HubMessage::GRANT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HubMessage::Builder::hasGrant() {
+  if (which() != HubMessage::GRANT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::zinniaferry::fleet::wire::Grant::Reader HubMessage::Reader::getGrant() const {
+  KJ_IREQUIRE((which() == HubMessage::GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::zinniaferry::fleet::wire::Grant>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::zinniaferry::fleet::wire::Grant::Builder HubMessage::Builder::getGrant() {
+  KJ_IREQUIRE((which() == HubMessage::GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::zinniaferry::fleet::wire::Grant>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HubMessage::Builder::setGrant( ::zinniaferry::fleet::wire::Grant::Reader value) {
+  _builder.setDataField<HubMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, HubMessage::GRANT);
+  ::capnp::_::PointerHelpers< ::zinniaferry::fleet::wire::Grant>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::zinniaferry::fleet::wire::Grant::Builder HubMessage::Builder::initGrant() {
+  _builder.setDataField<HubMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, HubMessage::GRANT);
+  return ::capnp::_::PointerHelpers< ::zinniaferry::fleet::wire::Grant>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HubMessage::Builder::adoptGrant(
+    ::capnp::Orphan< ::zinniaferry::fleet::wire::Grant>&& value) {
+  _builder.setDataField<HubMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, HubMessage::GRANT);
+  ::capnp::_::PointerHelpers< ::zinniaferry::fleet::wire::Grant>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::zinniaferry::fleet::wire::Grant> HubMessage::Builder::disownGrant() {
+  KJ_IREQUIRE((which() == HubMessage::GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::zinniaferry::fleet::wire::Grant>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/src/fleet/hub_choice.cpp
+++ b/src/fleet/hub_choice.cpp
@@ -185,6 +185,21 @@
     return is_wanted(choice, choice.self, now);
 }
 
+std::optional<std::string> primary_hub(const hub_choice& choice, core::time_point now)
+{
+    std::optional<std::string> out;
+    for_each_considered(choice, now,
+                        [&](const hub_candidate& candidate)
+                        {
+                            if (candidate.address == choice.self || is_current(candidate, now))
+                            {
+                                out = candidate.address;
+                            }
+                            return !out.has_value();
+                        });
+    return out;
+}
+
 bool has_current_hub(const hub_choice& choice, core::time_point now)
 {
     return std::any_of(choice.candidates.begin(), choice.candidates.end(),
--- a/src/fleet/hub_choice.hpp
+++ b/src/fleet/hub_choice.hpp
@@ -10,6 +10,7 @@
 
 #include <boost/json.hpp>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,10 @@
 /// Returns whether this daemon is among its own hubs.
 bool is_hub(const hub_choice& choice, core::time_point now);
 
+/// Returns the address of the first hub that is current, this daemon's own address when it comes
+/// first itself, or nothing.
+std::optional<std::string> primary_hub(const hub_choice& choice, core::time_point now);
+
 /// Returns whether a hub feeds this daemon with all changes.
 bool has_current_hub(const hub_choice& choice, core::time_point now);
 
--- a/src/fleet/hub_messages.cpp
+++ b/src/fleet/hub_messages.cpp
@@ -23,30 +23,6 @@
     return {value.begin(), value.size()};
 }
 
-template <class List>
-void write_demand(List list, const std::vector<account_demand>& demand)
-{
-    for (unsigned i = 0; i < list.size(); ++i)
-    {
-        list[i].setAccount(demand[i].account);
-        list[i].setRequestsPerS(static_cast<float>(demand[i].requests_per_s));
-    }
-}
-
-template <class List>
-std::vector<account_demand> read_demand(const List& list)
-{
-    std::vector<account_demand> out;
-    out.reserve(list.size());
-    for (const auto& entry : list)
-    {
-        const double rate = entry.getRequestsPerS();
-        // Not a number and infinity would spoil every share.
-        out.push_back({text(entry.getAccount()), rate >= 0.0 && rate < 1e9 ? rate : 0.0});
-    }
-    return out;
-}
-
 struct message_writer
 {
     wire::HubMessage::Builder out;
@@ -61,8 +37,7 @@
     }
     void operator()(const report_message& value)
     {
-        write_demand(out.initReport().initDemand(static_cast<unsigned>(value.demand.size())),
-                     value.demand);
+        out.initReport().setPrimary(value.primary);
     }
     void operator()(const update_message& value)
     {
@@ -86,12 +61,25 @@
             }
         }
     }
+    void operator()(const ask_message& value)
+    {
+        auto ask = out.initAsk();
+        ask.setNumber(value.number);
+        ask.setAccount(value.account);
+    }
+    void operator()(const grant_message& value)
+    {
+        auto grant = out.initGrant();
+        grant.setNumber(value.number);
+        grant.setRequests(value.requests);
+        grant.setRetryAfterUs(static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::microseconds>(value.retry_after).count()));
+    }
     void operator()(const fleet_message& value)
     {
         auto fleet = out.initFleet();
         fleet.setMembersKnown(value.members_known);
         fleet.setSettled(value.settled);
-        write_demand(fleet.initDemand(static_cast<unsigned>(value.demand.size())), value.demand);
         auto members = fleet.initMembers(static_cast<unsigned>(value.members.size()));
         for (unsigned i = 0; i < members.size(); ++i)
         {
@@ -127,7 +115,6 @@
     fleet_message out;
     out.members_known = fleet.getMembersKnown();
     out.settled = fleet.getSettled();
-    out.demand = read_demand(fleet.getDemand());
     for (const auto& entry : fleet.getMembers())
     {
         out.members.push_back({text(entry.getVm()), text(entry.getAddress())});
@@ -135,6 +122,15 @@
     return out;
 }
 
+grant_message read_grant(wire::Grant::Reader grant)
+{
+    constexpr std::uint64_t longest_us = 60ULL * 1'000'000ULL;
+    return {.number = grant.getNumber(),
+            .requests = grant.getRequests(),
+            .retry_after =
+                std::chrono::microseconds(std::min(grant.getRetryAfterUs(), longest_us))};
+}
+
 hub_message read_message(wire::HubMessage::Reader message)
 {
     switch (message.which())
@@ -147,11 +143,16 @@
                              .revision = hello.getRevision()};
     }
     case wire::HubMessage::REPORT:
-        return report_message{read_demand(message.getReport().getDemand())};
+        return report_message{message.getReport().getPrimary()};
     case wire::HubMessage::UPDATE:
         return read_update(message.getUpdate());
     case wire::HubMessage::FLEET:
         return read_fleet(message.getFleet());
+    case wire::HubMessage::ASK:
+        return ask_message{.number = message.getAsk().getNumber(),
+                           .account = text(message.getAsk().getAccount())};
+    case wire::HubMessage::GRANT:
+        return read_grant(message.getGrant());
     }
     throw KJ_EXCEPTION(FAILED, "unknown message");
 }
--- a/src/fleet/hub_messages.hpp
+++ b/src/fleet/hub_messages.hpp
@@ -16,14 +16,6 @@
 /// A larger frame is refused. A complete copy of the platform's entries must fit.
 inline constexpr std::size_t max_hub_message_bytes = 8U << 20U;
 
-struct account_demand
-{
-    std::string account;
-    double requests_per_s = 0.0;
-
-    bool operator==(const account_demand&) const = default;
-};
-
 struct member
 {
     std::string vm;
@@ -42,14 +34,33 @@
     bool operator==(const hello_message&) const = default;
 };
 
-/// Of a subscriber, about once a second.
+/// Of a subscriber, about once a second and when it changes.
 struct report_message
 {
-    std::vector<account_demand> demand;
+    bool primary = false; ///< The subscriber asks this hub for its accounts' requests.
 
     bool operator==(const report_message&) const = default;
 };
 
+/// Of a subscriber that needs requests of an account.
+struct ask_message
+{
+    std::uint64_t number = 0; ///< Repeated in the grant.
+    std::string account;
+
+    bool operator==(const ask_message&) const = default;
+};
+
+/// Of a hub, for an ask.
+struct grant_message
+{
+    std::uint64_t number = 0;
+    std::uint32_t requests = 0;
+    core::duration retry_after{};
+
+    bool operator==(const grant_message&) const = default;
+};
+
 /// Of a hub, at each change and at short intervals.
 struct update_message
 {
@@ -66,13 +77,13 @@
 {
     std::uint32_t members_known = 0;
     bool settled = false; ///< The hub runs for long enough that every member has found it.
-    std::vector<account_demand> demand; ///< Of all members heard, added up.
-    std::vector<member> members;        ///< Heard now.
+    std::vector<member> members; ///< Heard now; empty when they are as told last.
 
     bool operator==(const fleet_message&) const = default;
 };
 
-using hub_message = std::variant<hello_message, report_message, update_message, fleet_message>;
+using hub_message = std::variant<hello_message, report_message, update_message, fleet_message,
+                                 ask_message, grant_message>;
 
 /// Returns the message as bytes. Thread safe.
 std::string encode(const hub_message& message);
--- a/src/fleet/registry.cpp
+++ b/src/fleet/registry.cpp
@@ -1,6 +1,6 @@
 #include "fleet/registry.hpp"
 
-#include <map>
+#include <algorithm>
 
 namespace zinniaferry::fleet
 {
@@ -19,7 +19,7 @@
     registered_member& entry = registry.members[hello.self.vm];
     if (entry.incarnation != hello.incarnation)
     {
-        entry.demand.clear();
+        entry.primary = false;
     }
     entry.id = hello.self;
     entry.incarnation = hello.incarnation;
@@ -27,13 +27,12 @@
     entry.last_heard = now;
 }
 
-void on_report(registry& registry, const std::string& vm, std::vector<account_demand> demand,
-               core::time_point now)
+void on_report(registry& registry, const std::string& vm, bool primary, core::time_point now)
 {
     const auto found = registry.members.find(vm);
     if (found != registry.members.end())
     {
-        found->second.demand = std::move(demand);
+        found->second.primary = primary;
         found->second.last_heard = now;
     }
 }
@@ -46,7 +45,7 @@
     {
         found->second.heard = false;
         found->second.last_heard = now;
-        found->second.demand.clear();
+        found->second.primary = false;
     }
 }
 
@@ -60,35 +59,27 @@
                   });
 }
 
-fleet_message describe_fleet(const registry& registry, const std::vector<account_demand>& own,
-                             core::time_point now)
+fleet_message describe_fleet(const registry& registry, core::time_point now)
 {
     fleet_message out;
-    std::map<std::string, double> total;
-    const auto add = [&](const std::vector<account_demand>& demand)
-    {
-        for (const account_demand& entry : demand)
-        {
-            total[entry.account] += entry.requests_per_s;
-        }
-    };
-    add(own);
     out.members.push_back(registry.self);
     for (const auto& [vm, entry] : registry.members)
     {
         if (entry.heard)
         {
-            add(entry.demand);
             out.members.push_back(entry.id);
         }
     }
-    for (const auto& [account, rate] : total)
-    {
-        out.demand.push_back({account, rate});
-    }
     out.members_known = static_cast<std::uint32_t>(registry.members.size() + 1);
     out.settled = now - registry.started >= settling_time;
     return out;
 }
 
+std::size_t primary_members(const registry& registry)
+{
+    return static_cast<std::size_t>(
+        std::count_if(registry.members.begin(), registry.members.end(),
+                      [](const auto& entry) { return entry.second.primary; }));
+}
+
 } // namespace zinniaferry::fleet
--- a/src/fleet/registry.hpp
+++ b/src/fleet/registry.hpp
@@ -1,4 +1,4 @@
-/// The members of the fleet as a hub hears of them from its subscribers, and their demand.
+/// The members of the fleet as a hub hears of them from its subscribers.
 #pragma once
 
 #include "core/time.hpp"
@@ -18,7 +18,7 @@
     std::uint64_t incarnation = 0;
     bool heard = false;          ///< Subscribed now.
     core::time_point last_heard; ///< When it was heard last, if not now.
-    std::vector<account_demand> demand;
+    bool primary = false; ///< It named this daemon as the hub of its accounts.
 };
 
 struct registry
@@ -31,8 +31,7 @@
 /// All functions: not thread safe for one registry.
 
 void on_hello(registry& registry, const hello_message& hello, core::time_point now);
-void on_report(registry& registry, const std::string& vm, std::vector<account_demand> demand,
-               core::time_point now);
+void on_report(registry& registry, const std::string& vm, bool primary, core::time_point now);
 /// The subscription of that incarnation ended; a newer one of the VM stays.
 void on_left(registry& registry, const std::string& vm, std::uint64_t incarnation,
              core::time_point now);
@@ -41,8 +40,10 @@
 /// a part of the fleet that is cut off stay reserved.
 void forget_vanished(registry& registry, core::time_point now);
 
-/// Returns what this hub tells its subscribers. `own` is this daemon's demand.
-fleet_message describe_fleet(const registry& registry, const std::vector<account_demand>& own,
-                             core::time_point now);
+/// Returns what this hub tells its subscribers.
+fleet_message describe_fleet(const registry& registry, core::time_point now);
+
+/// Returns how many members named this daemon as the hub of their accounts.
+std::size_t primary_members(const registry& registry);
 
 } // namespace zinniaferry::fleet
--- /dev/null
+++ b/src/limits/account_pools.hpp
@@ -0,0 +1,107 @@
+/// Rates of client accounts over the whole fleet. A hub holds a pool of requests for each account,
+/// from which its members take grants; a member that reaches no hub has its part of the rate alone.
+///
+/// No pool is exclusive. A member names one hub as its own, and a hub fills its pools with the part
+/// of the rate that belongs to the members that named it, out of all members known lately. So the
+/// pools add up to the rate however the fleet is divided, but for the seconds in which views differ,
+/// which the operators' bounds have room for.
+#pragma once
+
+#include "config/model.hpp"
+#include "core/random.hpp"
+#include "core/time.hpp"
+
+#include <boost/json.hpp>
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+namespace zinniaferry::limits
+{
+
+/// Requests above rate x window + burst that the operators tolerate in a window: a fraction of
+/// these, and a number.
+struct rate_tolerance
+{
+    double overage = 0.0;
+    double slack = 0.0;
+    core::duration window = std::chrono::seconds(5);
+};
+
+/// A token bucket.
+struct account_bucket
+{
+    double rate = 0.0;  ///< Tokens/s.
+    double depth = 0.0; ///< Tokens.
+    double tokens = 0.0;
+    core::time_point filled;
+};
+
+struct account_limit
+{
+    double rate = 0.0;  ///< Requests/s over the whole fleet; 0 for no limit.
+    double burst = 0.0; ///< Requests.
+};
+
+/// Requests that a member may send for an account.
+struct grant
+{
+    std::uint32_t requests = 0;
+    core::duration retry_after{}; ///< When there are none: until there may be one.
+};
+
+struct account_grants
+{
+    std::uint32_t left = 0;
+    core::time_point until; ///< Unused ones end then.
+};
+
+struct account_pools
+{
+    rate_tolerance tolerance;
+    double region_part = 1.0;      ///< Of all rates, for this fleet's region.
+    std::size_t members_own = 0;   ///< Members that named this daemon as their hub.
+    std::size_t members_known = 1; ///< All members known lately.
+    bool alone = true;             ///< No hub is reached.
+    std::unordered_map<std::string, account_limit> limits;
+    std::unordered_map<std::string, account_bucket> pools;       ///< This daemon's as a hub.
+    std::unordered_map<std::string, account_bucket> alone_parts; ///< For the time without a hub.
+    std::unordered_map<std::string, account_grants> grants;      ///< Taken from the hub.
+};
+
+/// All functions: one thread at a time.
+
+/// Takes over the limits. Pools of accounts that stay keep their tokens up to their new depth.
+void apply_configuration(account_pools& pools, const config::configuration& config,
+                         core::time_point now);
+
+/// Sets how many members there are and how many named this daemon as their hub.
+void set_members(account_pools& pools, std::size_t own, std::size_t known, core::time_point now);
+
+/// Says whether a hub is reached. Without one the daemon starts with its part of the tolerance.
+void set_alone(account_pools& pools, bool alone, core::time_point now,
+               core::random_generator& random);
+
+bool is_limited(const account_pools& pools, const std::string& account);
+
+/// Takes requests from this daemon's pool for a member. Small accounts get one at a time; others
+/// more, so that not each request asks.
+grant take_from_pool(account_pools& pools, const std::string& account, core::time_point now);
+
+/// Takes one request from the grants at hand.
+bool take_granted(account_pools& pools, const std::string& account, core::time_point now);
+
+/// Keeps a grant of the hub.
+void add_granted(account_pools& pools, const std::string& account, std::uint32_t requests,
+                 core::time_point now);
+
+/// Gives a request back that did not run.
+void give_back(account_pools& pools, const std::string& account, core::time_point now);
+
+/// Takes one request without a hub.
+grant take_alone(account_pools& pools, const std::string& account, core::time_point now);
+
+boost::json::object dump(const account_pools& pools);
+
+} // namespace zinniaferry::limits
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -55,13 +55,14 @@
     return std::chrono::seconds(seconds);
 }
 
-core::duration read_seconds(std::string_view text)
+core::duration read_milliseconds(std::string_view text)
 {
-    double seconds = 0.0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seconds);
-    const bool good = error == std::errc() && end == text.data() + text.size() && seconds > 0.0 &&
-                      seconds < 3600.0;
-    return good ? core::from_seconds(seconds) : core::duration::zero();
+    constexpr double longest_ms = 3'600'000.0;
+    double ms = 0.0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), ms);
+    const bool good = error == std::errc() && end == text.data() + text.size() && ms > 0.0 &&
+                      ms < longest_ms;
+    return good ? core::from_seconds(ms / 1e3) : core::duration::zero();
 }
 
 void note_answer(backend_connection& connection, const http_response& answer)
@@ -197,10 +198,11 @@
     note_answer(*connection, answer);
     out.answered = true;
     out.healthy = answer.result_int() == 200;
-    out.right_server = header_value(answer.base(), profile_.server_id) == server_id;
+    const std::string_view named = header_value(answer.base(), profile_.server_id);
+    out.right_server = named.empty() || named == server_id;
     out.load =
         profile_.parse_load(header_value(answer.base(), profile_.load), connection->last_answer);
-    out.warmup_left = read_seconds(header_value(answer.base(), profile_.warmup_left));
+    out.warmup_left = read_milliseconds(header_value(answer.base(), profile_.warmup_left));
     connection->reusable = connection->reusable && out.right_server;
     co_return out;
 }
@@ -217,8 +219,9 @@
         return exchange_end::not_run;
     }
     const bool success = answer.result_int() >= 200 && answer.result_int() < 300;
-    const bool echoed = header_value(answer.base(), profile_.request_id) ==
-                        header_value(request.base(), profile_.request_id);
+    const std::string_view echo = header_value(answer.base(), profile_.request_id);
+    const bool echoed = echo == header_value(request.base(), profile_.request_id) ||
+                        (echo.empty() && profile_.signature.empty());
     const bool signed_by_server = profile_.signature.empty() ||
                                   !header_value(answer.base(), profile_.signature).empty();
     const bool encoded = !header_value(answer.base(), "Content-Encoding").empty();
@@ -249,6 +252,11 @@
             break;
         }
         const bool ends_with_connection = parser.need_eof();
+        if (ends_with_connection && !profile_.unframed_answers)
+        {
+            out.end = exchange_end::malformed;
+            break;
+        }
         http_response answer = parser.release();
         const std::string_view echoed = header_value(answer.base(), profile_.request_id);
         // Interim answers, and late answers to an earlier request on this connection.
--- a/src/net/caller_session.cpp
+++ b/src/net/caller_session.cpp
@@ -84,6 +84,8 @@
 asio::awaitable<bool> write_answer(caller_connection& connection, http_response& answer,
                                    bool keep_alive)
 {
+    // After a request that was not framed clearly, the next bytes may belong to it.
+    keep_alive = keep_alive && answer.keep_alive();
     answer.keep_alive(keep_alive);
     connection.timer.expires_after(write_timeout);
     error_code error;
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -86,6 +86,7 @@
                                                  random_number(), replica_, gateway_.log,
                                                  link_events())
     {
+        gateway_.ask_hub = [this](std::string account) { return links_.ask(std::move(account)); };
         apply_settings();
     }
 
@@ -142,7 +143,7 @@
     void apply_settings()
     {
         const fleet_bounds& bounds = settings_.bounds;
-        gateway_.accounts.options = bounds.accounts;
+        gateway_.accounts.tolerance = bounds.accounts;
         gateway_.repeats.options = {.ratio = bounds.repeat_ratio, .slack = bounds.repeat_slack};
         gateway_.backends.options.cold_overage = bounds.cold_overage;
         gateway_.backends.options.cold_slack = bounds.cold_slack;
@@ -153,38 +154,22 @@
     {
         return {.changed = [this](const std::vector<fleet::entry_change>& changes)
                 { take(changes); },
-                .fleet = [this](const fleet::fleet_message& fleet) { take_fleet(fleet); },
-                .own_demand = [this] { return own_demand(); }};
+                .fleet = [this](const fleet_view& view) { take_fleet(view); },
+                .take_from_pool =
+                    [this](const std::string& account)
+                {
+                    return limits::take_from_pool(gateway_.accounts, account,
+                                                  core::elapsed_now());
+                }};
     }
 
-    std::vector<fleet::account_demand> own_demand() const
+    void take_fleet(const fleet_view& view)
     {
-        std::vector<fleet::account_demand> out;
-        for (const auto& [account, rate] :
-             limits::own_demand(gateway_.accounts, core::elapsed_now()))
-        {
-            out.push_back({account, rate});
-        }
-        return out;
-    }
-
-    void take_fleet(const fleet::fleet_message& message)
-    {
-        limits::fleet_demand demand;
-        demand.members_heard = message.members.size();
-        demand.members_known = message.members_known;
-        demand.settled = message.settled;
-        for (const fleet::account_demand& entry : message.demand)
-        {
-            demand.requests_per_s.emplace(entry.account, entry.requests_per_s);
-        }
-        limits::set_fleet(gateway_.accounts, std::move(demand), core::elapsed_now());
-        std::vector<std::string> members;
-        for (const fleet::member& entry : message.members)
-        {
-            members.push_back(entry.vm);
-        }
-        set_members(gateway_, std::move(members), message.members_known);
+        const core::time_point now = core::elapsed_now();
+        limits::set_members(gateway_.accounts, view.members_own, view.members_known, now);
+        limits::set_alone(gateway_.accounts, !view.hub_reached, now, gateway_.random);
+        gateway_.repeats.members = view.members_known;
+        gateway_.backends.members = view.members;
     }
 
     // Brings changed entries to the gateway, and to the subscribers.
--- a/src/net/daemon.hpp
+++ b/src/net/daemon.hpp
@@ -67,7 +67,7 @@
 {
     double repeat_ratio = 0.1;
     double repeat_slack = 20.0;
-    limits::account_shares_options accounts;
+    limits::rate_tolerance accounts;
     double cold_overage = 1.0;
     double cold_slack = 5.0;
 };
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -98,8 +98,8 @@
     }
     gateway.log.write("configuration", "in_force",
                       {{"version", config->version}, {"before", present}});
-    limits::apply_configuration(gateway.accounts, *config,
-                                config::region_part(*config, gateway.options.region), now);
+    gateway.accounts.region_part = config::region_part(*config, gateway.options.region);
+    limits::apply_configuration(gateway.accounts, *config, now);
     for (const config::service& service : config->services)
     {
         routing::service_pace& pace = gateway.backends.pace[service.name];
@@ -171,15 +171,35 @@
     out["requests_in_progress"] = gateway.requests_in_progress;
     out["idle_backend_connections"] = gateway.pool.idle_count();
     out["members"] = gateway.backends.members.size();
-    out["limits"] = limits::dump(gateway.accounts, now);
+    out["limits"] = limits::dump(gateway.accounts);
     out["servers"] = routing::dump(gateway.backends, now);
     return out;
 }
 
-void set_members(gateway& gateway, std::vector<std::string> members, std::size_t known)
+asio::awaitable<limits::grant> admit(gateway& gateway, std::string account)
 {
-    gateway.repeats.members = std::max(members.size(), known);
-    gateway.backends.members = std::move(members);
+    limits::account_pools& pools = gateway.accounts;
+    if (!limits::is_limited(pools, account) ||
+        limits::take_granted(pools, account, core::elapsed_now()))
+    {
+        co_return limits::grant{.requests = 1};
+    }
+    std::optional<limits::grant> answer;
+    if (gateway.ask_hub)
+    {
+        answer = co_await gateway.ask_hub(account);
+    }
+    const core::time_point now = core::elapsed_now();
+    if (!answer)
+    {
+        co_return limits::take_alone(pools, account, now);
+    }
+    if (answer->requests > 1)
+    {
+        limits::add_granted(pools, account, answer->requests - 1, now);
+    }
+    co_return limits::grant{.requests = std::min(answer->requests, 1U),
+                            .retry_after = answer->retry_after};
 }
 
 void maintain(gateway& gateway, core::time_point now)
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "config/index.hpp"
-#include "limits/account_shares.hpp"
+#include "limits/account_pools.hpp"
 #include "limits/repeat_budget.hpp"
 #include "net/backend_pool.hpp"
 #include "net/event_log.hpp"
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -48,7 +49,9 @@
     const gateway_options options;
     std::shared_ptr<const config::index> configuration; ///< Null before the first.
     routing::backend_set backends;
-    limits::account_shares accounts;
+    limits::account_pools accounts;
+    /// Asks the fleet's hub for requests of an account; nothing when none answers in time.
+    std::function<asio::awaitable<std::optional<limits::grant>>(std::string)> ask_hub;
     limits::repeat_budget repeats;
     backend_pool pool;
     event_log log;
@@ -77,9 +80,9 @@
 /// Returns the state for operators.
 boost::json::object dump(const gateway& gateway, core::time_point now);
 
-/// Sets the members of the fleet that are heard now, this daemon included, and the number of those
-/// known lately. They share limits and cold servers.
-void set_members(gateway& gateway, std::vector<std::string> members, std::size_t known);
+/// Takes one request of the account: from the grants at hand, from the hub, or, when no hub
+/// answers, from this daemon's own part. Returns a grant of one request, or of none.
+asio::awaitable<limits::grant> admit(gateway& gateway, std::string account);
 
 /// Probes suspect servers that are due, and closes connections that are no longer of use.
 void maintain(gateway& gateway, core::time_point now);
--- a/src/net/http_profile.hpp
+++ b/src/net/http_profile.hpp
@@ -33,6 +33,9 @@
     routing::load_parser parse_load = routing::parse_named_load;
     /// Marks an answer as the server's own; empty when servers do not mark their answers.
     std::string signature;
+    /// Whether an answer may state no length and end with its connection. It cannot be told from
+    /// one that was cut by an orderly close.
+    bool unframed_answers = false;
 
     /// To callers, with the daemon's own answers: "not-run" or "unknown"; empty for no such header.
     std::string outcome = "X-Zinnia-Outcome";
--- a/src/net/hub_links.cpp
+++ b/src/net/hub_links.cpp
@@ -27,7 +27,13 @@
 constexpr core::duration check_interval = std::chrono::milliseconds(200);
 constexpr core::duration connect_limit = std::chrono::milliseconds(400);
 constexpr core::duration write_limit = std::chrono::seconds(2);
+/// A request waits no longer for its account's grant; a hub in the region answers in a few.
+constexpr core::duration ask_limit = std::chrono::milliseconds(20);
 constexpr std::size_t length_bytes = 4;
+/// A peer that reads too slowly for this many frames is cut off.
+constexpr std::size_t max_outbox_frames = 1024;
+/// While not all members had time to be heard, the fleet is taken to have at least so many.
+constexpr std::size_t assumed_members = 20;
 
 auto into(error_code& error)
 {
@@ -86,23 +92,42 @@
     on.notified = false;
 }
 
-asio::awaitable<bool> hub_links::send(link& to, const fleet::hub_message& message)
+void hub_links::send(link& to, const fleet::hub_message& message)
 {
     const std::string body = fleet::encode(message);
     std::string frame(length_bytes, '\0');
     boost::endian::store_big_u32(reinterpret_cast<unsigned char*>(frame.data()),
                                  static_cast<std::uint32_t>(body.size()));
     frame += body;
-    to.timer.expires_after(write_limit);
-    error_code error;
-    co_await asio::async_write(to.socket, asio::buffer(frame), into(error));
-    to.timer.clear();
     counters_.bytes_out += frame.size();
-    if (error)
+    to.outbox.push_back(std::move(frame));
+    if (to.outbox.size() > max_outbox_frames)
     {
         close(to);
     }
-    co_return !error;
+    to.outbox_filled.cancel();
+}
+
+// The only writer of a connection.
+asio::awaitable<void> hub_links::write_frames(link_pointer to)
+{
+    error_code error;
+    while (!to->closed && !error)
+    {
+        if (to->outbox.empty())
+        {
+            to->outbox_filled.expires_at(asio::steady_timer::time_point::max());
+            error_code woken;
+            co_await to->outbox_filled.async_wait(into(woken));
+            continue;
+        }
+        const std::string frame = std::move(to->outbox.front());
+        to->outbox.pop_front();
+        to->timer.expires_after(write_limit);
+        co_await asio::async_write(to->socket, asio::buffer(frame), into(error));
+        to->timer.clear();
+    }
+    close(*to);
 }
 
 asio::awaitable<std::optional<fleet::hub_message>> hub_links::receive(link& from)
@@ -162,27 +187,39 @@
         co_return;
     }
     const fleet::hello_message greeted = *hello;
+    const std::string vm = greeted.self.vm;
     fleet::on_hello(registry_, greeted, core::elapsed_now());
-    log_.write("peers", "subscribed", {{"vm", greeted.self.vm}, {"revision", greeted.revision}});
+    log_.write("peers", "subscribed", {{"vm", vm}, {"revision", greeted.revision}});
     subscribers_.insert(subscriber);
     // A subscriber that knows another revision gets a complete copy.
     const bool same = greeted.revision != 0 && greeted.revision == replica_.revision;
     subscriber->sent_sequence = same ? replica_.sequence : 0;
+    asio::co_spawn(io_, write_frames(subscriber), asio::detached);
     asio::co_spawn(io_, feed_subscriber(subscriber), asio::detached);
-    while (true)
+    while (const auto message = co_await receive(*subscriber))
     {
-        const auto message = co_await receive(*subscriber);
-        const auto* report = message ? std::get_if<fleet::report_message>(&*message) : nullptr;
-        if (report == nullptr)
+        if (const auto* report = std::get_if<fleet::report_message>(&*message))
         {
-            break;
+            fleet::on_report(registry_, vm, report->primary, core::elapsed_now());
+            tell_fleet();
+        }
+        else if (const auto* ask = std::get_if<fleet::ask_message>(&*message))
+        {
+            answer_ask(*subscriber, *ask);
         }
-        fleet::on_report(registry_, greeted.self.vm, report->demand, core::elapsed_now());
     }
     close(*subscriber);
     subscribers_.erase(subscriber);
-    fleet::on_left(registry_, greeted.self.vm, greeted.incarnation, core::elapsed_now());
-    log_.write("peers", "left", {{"vm", greeted.self.vm}});
+    fleet::on_left(registry_, vm, greeted.incarnation, core::elapsed_now());
+    log_.write("peers", "left", {{"vm", vm}});
+}
+
+void hub_links::answer_ask(link& subscriber, const fleet::ask_message& ask)
+{
+    const limits::grant grant = events_.take_from_pool(ask.account);
+    send(subscriber, fleet::grant_message{.number = ask.number,
+                                          .requests = grant.requests,
+                                          .retry_after = grant.retry_after});
 }
 
 asio::awaitable<void> hub_links::feed_subscriber(link_pointer subscriber)
@@ -190,23 +227,20 @@
     core::time_point fleet_due = core::elapsed_now();
     while (!subscriber->closed)
     {
-        if (replica_.complete && !co_await send_changes(*subscriber))
+        if (replica_.complete)
         {
-            break;
+            send_changes(*subscriber);
         }
         if (core::elapsed_now() >= fleet_due)
         {
             fleet_due = core::elapsed_now() + report_interval;
-            if (!co_await send_fleet(*subscriber))
-            {
-                break;
-            }
+            send_fleet(*subscriber);
         }
         co_await wait(*subscriber, update_interval);
     }
 }
 
-asio::awaitable<bool> hub_links::send_changes(link& subscriber)
+void hub_links::send_changes(link& subscriber)
 {
     fleet::update_message update;
     update.revision = replica_.revision;
@@ -217,22 +251,19 @@
     update.complete = !changes.has_value();
     update.changes = changes ? std::move(*changes) : fleet::complete_copy(replica_);
     subscriber.sent_sequence = replica_.sequence;
-    const fleet::hub_message message = std::move(update);
-    co_return co_await send(subscriber, message);
+    send(subscriber, update);
 }
 
-asio::awaitable<bool> hub_links::send_fleet(link& subscriber)
+void hub_links::send_fleet(link& subscriber)
 {
-    fleet::fleet_message fleet =
-        fleet::describe_fleet(registry_, events_.own_demand(), core::elapsed_now());
+    fleet::fleet_message fleet = fleet::describe_fleet(registry_, core::elapsed_now());
     const std::size_t members = hash_of(fleet.members);
     if (members == subscriber.members_sent)
     {
         fleet.members.clear();
     }
     subscriber.members_sent = members;
-    const fleet::hub_message message = std::move(fleet);
-    co_return co_await send(subscriber, message);
+    send(subscriber, fleet);
 }
 
 void hub_links::publish()
@@ -247,7 +278,7 @@
 asio::awaitable<void> hub_links::run()
 {
     asio::steady_timer timer(io_);
-    core::time_point tell_at = core::elapsed_now();
+    core::time_point report_at = core::elapsed_now();
     while (true)
     {
         const core::time_point now = core::elapsed_now();
@@ -262,10 +293,17 @@
                 close(*hub);
             }
         }
-        if (now >= tell_at)
+        const auto primary = fleet::primary_hub(choice_, now);
+        if (primary != primary_ || now >= report_at)
         {
-            tell_at = now + report_interval;
+            if (primary != primary_)
+            {
+                log_.write("peers", "hub_chosen", {{"address", primary.value_or("none")}});
+            }
+            primary_ = primary;
+            report_at = now + report_interval;
             fleet::forget_vanished(registry_, now);
+            send_reports();
             tell_fleet();
         }
         timer.expires_after(check_interval);
@@ -274,48 +312,49 @@
     }
 }
 
+void hub_links::send_reports()
+{
+    for (const auto& [address, hub] : hubs_)
+    {
+        send(*hub, fleet::report_message{.primary = address == primary_});
+    }
+}
+
 asio::awaitable<void> hub_links::subscribe(std::string address)
 {
-    const auto hub = std::make_shared<link>(io_);
     const auto endpoint = read_endpoint(address);
+    asio::ip::tcp::socket socket(io_);
     error_code error = asio::error::invalid_argument;
     if (endpoint)
     {
-        hub->timer.expires_after(connect_limit);
-        co_await hub->socket.async_connect(*endpoint, into(error));
-        hub->timer.clear();
+        deadline_timer limit(socket);
+        limit.expires_after(connect_limit);
+        co_await socket.async_connect(*endpoint, into(error));
     }
     if (!error)
     {
-        set_connection_options(hub->socket);
-        hubs_[address] = hub;
-        fleet::on_connected(choice_, address, core::elapsed_now());
-        asio::co_spawn(io_, report_to_hub(hub), asio::detached);
-        while (auto message = co_await receive(*hub))
-        {
-            take(address, *hub, *message);
-        }
-        close(*hub);
-        hubs_.erase(address);
-        told_.erase(address);
-        log_.write("peers", "hub_lost", {{"address", address}});
+        co_await follow_hub(address, std::make_shared<link>(std::move(socket)));
     }
     fleet::on_closed(choice_, address, core::elapsed_now());
 }
 
-asio::awaitable<void> hub_links::report_to_hub(link_pointer hub)
+asio::awaitable<void> hub_links::follow_hub(std::string address, link_pointer hub)
 {
-    const fleet::hub_message hello =
-        fleet::hello_message{.self = registry_.self,
-                             .incarnation = incarnation_,
-                             .revision = replica_.complete ? replica_.revision : 0};
-    bool sent = co_await send(*hub, hello);
-    while (sent && !hub->closed)
+    set_connection_options(hub->socket);
+    hubs_[address] = hub;
+    fleet::on_connected(choice_, address, core::elapsed_now());
+    send(*hub, fleet::hello_message{.self = registry_.self,
+                                    .incarnation = incarnation_,
+                                    .revision = replica_.complete ? replica_.revision : 0});
+    send(*hub, fleet::report_message{.primary = address == primary_});
+    asio::co_spawn(io_, write_frames(hub), asio::detached);
+    while (const auto message = co_await receive(*hub))
     {
-        const fleet::hub_message report = fleet::report_message{events_.own_demand()};
-        sent = co_await send(*hub, report);
-        co_await wait(*hub, report_interval);
+        take(address, *hub, *message);
     }
+    close(*hub);
+    hubs_.erase(address);
+    log_.write("peers", "hub_left", {{"address", address}});
 }
 
 void hub_links::take(const std::string& address, link& hub, const fleet::hub_message& message)
@@ -326,9 +365,17 @@
     }
     else if (const auto* fleet = std::get_if<fleet::fleet_message>(&message))
     {
-        take_fleet(hub, *fleet);
-        told_[address] = *fleet;
-        told_[address].members = hub.members;
+        hub.told = *fleet;
+        if (!fleet->members.empty())
+        {
+            hub.members = fleet->members;
+            fleet::set_members(choice_, hub.members);
+        }
+        tell_fleet();
+    }
+    else if (const auto* grant = std::get_if<fleet::grant_message>(&message))
+    {
+        take_grant(*grant);
     }
 }
 
@@ -343,31 +390,68 @@
     events_.changed(changes);
 }
 
-void hub_links::take_fleet(link& hub, fleet::fleet_message message)
+void hub_links::take_grant(const fleet::grant_message& message)
+{
+    const auto found = asks_.find(message.number);
+    if (found != asks_.end())
+    {
+        found->second->grant =
+            limits::grant{.requests = message.requests, .retry_after = message.retry_after};
+        found->second->answered.cancel();
+    }
+}
+
+asio::awaitable<std::optional<limits::grant>> hub_links::ask(std::string account)
 {
-    if (!message.members.empty())
+    if (primary_ == choice_.self)
     {
-        hub.members = std::move(message.members);
-        fleet::set_members(choice_, hub.members);
+        co_return events_.take_from_pool(account);
     }
+    const auto hub = primary_ ? hubs_.find(*primary_) : hubs_.end();
+    if (hub == hubs_.end() || hub->second->closed)
+    {
+        co_return std::nullopt;
+    }
+    ++counters_.asks;
+    waiting_ask waiting(io_);
+    const std::uint64_t number = next_ask_++;
+    asks_.emplace(number, &waiting);
+    send(*hub->second, fleet::ask_message{.number = number, .account = std::move(account)});
+    waiting.answered.expires_after(ask_limit);
+    error_code ignored;
+    co_await waiting.answered.async_wait(into(ignored));
+    asks_.erase(number);
+    counters_.asks_unanswered += waiting.grant ? 0 : 1;
+    co_return waiting.grant;
 }
 
-// Combines what the hubs tell with what this daemon hears itself. The hub that hears most members
-// is believed; a member that only one of them hears is counted by that one.
+// Combines what the hubs tell with what this daemon hears itself: the longest list of members, and
+// the highest number of those known.
 void hub_links::tell_fleet()
 {
-    fleet::fleet_message best =
-        fleet::describe_fleet(registry_, events_.own_demand(), core::elapsed_now());
-    for (const auto& [address, told] : told_)
+    const core::time_point now = core::elapsed_now();
+    const fleet::fleet_message own = fleet::describe_fleet(registry_, now);
+    const std::vector<fleet::member>* members = &own.members;
+    std::size_t known = own.members_known;
+    bool settled = own.settled;
+    for (const auto& [address, hub] : hubs_)
     {
-        const std::uint32_t known = std::max(best.members_known, told.members_known);
-        if (told.members.size() >= best.members.size())
+        known = std::max<std::size_t>(known, hub->told.members_known);
+        settled = settled && (hub->told.members_known == 0 || hub->told.settled);
+        if (hub->members.size() > members->size())
         {
-            best = told;
+            members = &hub->members;
         }
-        best.members_known = known;
     }
-    events_.fleet(best);
+    fleet_view view;
+    for (const fleet::member& entry : *members)
+    {
+        view.members.push_back(entry.vm);
+    }
+    view.members_known = settled ? known : std::max(known, assumed_members);
+    view.members_own = fleet::primary_members(registry_) + (primary_ == choice_.self ? 1 : 0);
+    view.hub_reached = primary_.has_value();
+    events_.fleet(view);
 }
 
 boost::json::object hub_links::dump() const
--- a/src/net/hub_links.hpp
+++ b/src/net/hub_links.hpp
@@ -4,6 +4,7 @@
 #include "fleet/hub_choice.hpp"
 #include "fleet/registry.hpp"
 #include "fleet/replica.hpp"
+#include "limits/account_pools.hpp"
 #include "net/deadline_timer.hpp"
 #include "net/event_log.hpp"
 
@@ -11,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -21,20 +23,30 @@
 
 namespace asio = boost::asio;
 
+/// What this daemon knows of the fleet.
+struct fleet_view
+{
+    std::vector<std::string> members; ///< VMs heard now, this one included.
+    std::size_t members_known = 1;    ///< Also those that vanished lately.
+    std::size_t members_own = 0;      ///< Those that named this daemon as their hub.
+    bool hub_reached = false;
+};
+
 struct hub_events
 {
     /// The replica has changed through a hub.
     std::function<void(const std::vector<fleet::entry_change>&)> changed;
-    /// What the fleet demands is known anew.
-    std::function<void(const fleet::fleet_message&)> fleet;
-    /// Returns this daemon's demand.
-    std::function<std::vector<fleet::account_demand>()> own_demand;
+    std::function<void(const fleet_view&)> fleet;
+    /// A member asks for requests of an account.
+    std::function<limits::grant(const std::string&)> take_from_pool;
 };
 
 struct hub_link_counters
 {
     std::uint64_t bytes_in = 0;
     std::uint64_t bytes_out = 0;
+    std::uint64_t asks = 0;
+    std::uint64_t asks_unanswered = 0;
 };
 
 /// One thread: the io_context's. All references outlive the links.
@@ -49,16 +61,18 @@
     /// Accepts subscribers until the acceptor is closed.
     asio::awaitable<void> serve(asio::ip::tcp::acceptor& acceptor);
 
-    /// Keeps the connections to the hubs, and tells the fleet's state once a second.
+    /// Keeps the connections to the hubs.
     asio::awaitable<void> run();
 
     /// Sends the replica's latest changes to the subscribers.
     void publish();
 
+    /// Asks the hub for requests of the account; nothing when no hub answers in time.
+    asio::awaitable<std::optional<limits::grant>> ask(std::string account);
+
     /// Returns whether this daemon reads the platform itself.
     bool must_follow_platform() const;
 
-    std::size_t subscribers() const { return subscribers_.size(); }
     const hub_link_counters& counters() const { return counters_; }
     boost::json::object dump() const;
 
@@ -66,34 +80,49 @@
     /// One connection to another daemon.
     struct link
     {
-        explicit link(asio::io_context& io) : socket(io), timer(socket), wake(io) {}
-        explicit link(asio::ip::tcp::socket accepted)
-            : socket(std::move(accepted)), timer(socket), wake(socket.get_executor())
+        explicit link(asio::ip::tcp::socket connected)
+            : socket(std::move(connected)), timer(socket), wake(socket.get_executor()),
+              outbox_filled(socket.get_executor())
         {
         }
 
         asio::ip::tcp::socket socket;
         deadline_timer timer; ///< Of the writing side.
         asio::steady_timer wake;
+        asio::steady_timer outbox_filled;
+        std::deque<std::string> outbox;
         bool notified = false;
         bool closed = false;
-        std::uint64_t sent_sequence = 0;   ///< Of the replica.
-        std::size_t members_sent = 0;      ///< Hash of the members in the last fleet message.
+        std::uint64_t sent_sequence = 0;    ///< Of the replica.
+        std::size_t members_sent = 0;       ///< Hash of the members as told last.
         std::vector<fleet::member> members; ///< As the hub told last.
+        fleet::fleet_message told;          ///< By the hub.
     };
     using link_pointer = std::shared_ptr<link>;
 
+    /// An ask that waits for its grant.
+    struct waiting_ask
+    {
+        explicit waiting_ask(asio::io_context& io) : answered(io) {}
+
+        asio::steady_timer answered;
+        std::optional<limits::grant> grant;
+    };
+
+    asio::awaitable<void> write_frames(link_pointer to);
     asio::awaitable<void> serve_subscriber(link_pointer subscriber);
     asio::awaitable<void> feed_subscriber(link_pointer subscriber);
-    asio::awaitable<bool> send_changes(link& subscriber);
-    asio::awaitable<bool> send_fleet(link& subscriber);
+    void send_changes(link& subscriber);
+    void send_fleet(link& subscriber);
+    void answer_ask(link& subscriber, const fleet::ask_message& ask);
     asio::awaitable<void> subscribe(std::string address);
-    asio::awaitable<void> report_to_hub(link_pointer hub);
+    asio::awaitable<void> follow_hub(std::string address, link_pointer hub);
+    void send_reports();
     void take(const std::string& address, link& hub, const fleet::hub_message& message);
     void take_update(const std::string& address, const fleet::update_message& update);
-    void take_fleet(link& hub, fleet::fleet_message message);
+    void take_grant(const fleet::grant_message& message);
     void tell_fleet();
-    asio::awaitable<bool> send(link& to, const fleet::hub_message& message);
+    void send(link& to, const fleet::hub_message& message);
     asio::awaitable<std::optional<fleet::hub_message>> receive(link& from);
     asio::awaitable<void> wait(link& on, core::duration time);
     static void close(link& which);
@@ -107,7 +136,9 @@
     fleet::registry registry_;
     std::unordered_set<link_pointer> subscribers_;
     std::unordered_map<std::string, link_pointer> hubs_; ///< By address.
-    std::unordered_map<std::string, fleet::fleet_message> told_; ///< By the hub's address.
+    std::unordered_map<std::uint64_t, waiting_ask*> asks_;
+    std::uint64_t next_ask_ = 1;
+    std::optional<std::string> primary_;
     hub_link_counters counters_;
 };
 
--- a/src/net/message_rules.cpp
+++ b/src/net/message_rules.cpp
@@ -180,6 +180,7 @@
     {
         answer.set(beast_view(profile.request_id), beast_view(request_id));
     }
+    answer.keep_alive(refusal.reason != refusal_reason::bad_request);
     const bool not_run = request::promises_not_run(refusal.reason);
     if (!profile.outcome.empty())
     {
--- a/src/net/request_flow.cpp
+++ b/src/net/request_flow.cpp
@@ -78,7 +78,7 @@
     ++gateway_.counters.requests;
     ++gateway_.requests_in_progress;
     std::optional<http_response> answer;
-    if (const auto refusal = admit())
+    if (const auto refusal = co_await admit())
     {
         answer = refuse(*refusal);
     }
@@ -105,35 +105,34 @@
     notify();
 }
 
-std::optional<request::refusal> request_flow::admit()
+asio::awaitable<std::optional<request::refusal>> request_flow::admit()
 {
     const auto described = describe_request(message_, gateway_.profile);
     if (const auto* reason = std::get_if<refusal_reason>(&described))
     {
-        return request::refusal{.reason = *reason};
+        co_return request::refusal{.reason = *reason};
     }
     described_ = std::get<request_description>(described);
     if (gateway_.refusing)
     {
-        return request::refusal{refusal_reason::stopping, busy_retry_after};
+        co_return request::refusal{refusal_reason::stopping, busy_retry_after};
     }
     if (const auto refusal = check_in_force())
     {
-        return refusal;
+        co_return refusal;
     }
     const core::duration time_left =
         std::max(described_.time_left.value_or(default_time_left) - way_back, core::duration());
     deadline_ = arrived_ + std::min(time_left, route_->timeout);
-    const limits::admission result =
-        limits::admit(gateway_.accounts, account_, core::elapsed_now());
-    if (!result.admitted)
+    const limits::grant granted = co_await net::admit(gateway_, account_);
+    if (granted.requests == 0)
     {
-        return request::refusal{refusal_reason::over_limit, result.retry_after};
+        co_return request::refusal{refusal_reason::over_limit, granted.retry_after};
     }
     service_ = choose_service();
     progress_ = {.idempotent = route_->idempotent, .max_runs = route_->attempts};
     limits::on_first_attempt(gateway_.repeats, service_);
-    return std::nullopt;
+    co_return std::nullopt;
 }
 
 // Finds the route and the account in the configuration in force.
@@ -406,6 +405,7 @@
     }
     if (not_run)
     {
+        limits::give_back(gateway_.accounts, account_, now);
         const bool late = now >= deadline_;
         const auto reason = servers_full_ ? refusal_reason::overloaded
                             : late        ? refusal_reason::expired
--- a/src/net/request_flow.hpp
+++ b/src/net/request_flow.hpp
@@ -41,7 +41,7 @@
         exchange_result result;
     };
 
-    std::optional<request::refusal> admit();
+    asio::awaitable<std::optional<request::refusal>> admit();
     std::optional<request::refusal> check_in_force();
     std::string choose_service();
     asio::awaitable<http_response> serve();
--- a/src/stand_in/backend.hpp
+++ b/src/stand_in/backend.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/random.hpp"
+#include "net/http_profile.hpp"
 #include "stand_in/http_server.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -37,6 +38,7 @@
     milliseconds late_by{200.0};     ///< How long after the deadline a late server answers.
     std::size_t body_bytes = 256;    ///< Content of an answer.
     std::uint64_t seed = 1;
+    net::http_profile profile; ///< Names of the headers.
 };
 
 enum class behaviour
@@ -60,6 +62,7 @@
     std::uint64_t cold_overruns = 0; ///< Requests beyond the allowance of a cold server.
     std::uint64_t key_headers = 0;   ///< Requests that carried a caller's key; must stay 0.
     std::uint64_t probes = 0;
+    std::uint64_t misdirected = 0; ///< Requests meant for another server.
 };
 
 struct load_sample
@@ -112,7 +115,7 @@
 /// Returns the handler of the control listener. Precondition: `group` outlives it.
 http_handler make_backend_control(backend_group& group);
 
-/// Returns the value of the `X-Zinnia-Load` header as the server reports it now.
+/// Returns the value of the load header as the server reports it now.
 std::string load_report(backend& server);
 
 } // namespace zinniaferry::stand_in
--- a/test/fuzz/http_request.cpp
+++ b/test/fuzz/http_request.cpp
@@ -1,7 +1,7 @@
 // Fuzzes a caller's bytes through the parser and the rules of the front end. Guards against input
 // that crashes, and against a credential or a connection header that reaches a backend server.
 #include "fuzz/fuzz_target.hpp"
-#include "net/http_rules.hpp"
+#include "net/message_rules.hpp"
 
 using namespace zinniaferry;
 
