Ask more candidates when the first are full or slow, and time second sends by the route's median

Ruled out: the repeat budget (658 of 1,084 were used). Now two more candidates are asked when none of the first has room at usual speed, and the second send follows the route's median and leaves room for the second server.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -77,6 +77,17 @@
     gateway.document_servers = std::move(listed);
 }
 
+void forget_paces(gateway& gateway, const config::configuration& config)
+{
+    std::unordered_set<std::string> routes;
+    for (const config::route& route : config.routes)
+    {
+        routes.insert(route.host + route.prefix);
+    }
+    std::erase_if(gateway.route_paces,
+                  [&](const auto& entry) { return !routes.contains(entry.first); });
+}
+
 } // namespace
 
 gateway::gateway(asio::io_context& context, http_profile http, gateway_options how)
@@ -107,6 +118,7 @@
         pace.warmup = service.warmup;
     }
     apply_places(gateway, *config, now);
+    forget_paces(gateway, *config);
     gateway.configuration =
         std::make_shared<const config::index>(config::make_index(std::move(config)));
     return true;
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -58,6 +58,7 @@
     core::random_generator random;
     request_durations durations;
     gateway_counters counters;
+    std::unordered_map<std::string, routing::route_pace> route_paces; ///< By host and prefix.
     std::unordered_set<std::string> document_servers; ///< Listed by the configuration itself.
     std::size_t requests_in_progress = 0;
     bool closing = false;  ///< Connections end after the answer at hand.
--- a/src/net/request_flow.cpp
+++ b/src/net/request_flow.cpp
@@ -1,5 +1,7 @@
 #include "net/request_flow.hpp"
 
+#include "request/second_send.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -21,10 +23,6 @@
 constexpr core::duration default_time_left = std::chrono::seconds(10);
 constexpr core::duration busy_retry_after = std::chrono::milliseconds(100);
 constexpr core::duration start_retry_after = std::chrono::milliseconds(250);
-/// Part of the objective after which an idempotent request is sent to a second server as well.
-constexpr double second_send_part = 0.45;
-/// A second send is of use only when the first takes clearly longer than usual.
-constexpr double second_send_latency_factor = 1.5;
 /// Part of the objective for which a request waits for a server that may get it.
 constexpr double hold_part = 0.1;
 constexpr core::duration hold_step = std::chrono::milliseconds(10);
@@ -232,11 +230,16 @@
     {
         return std::nullopt;
     }
-    const auto pace = gateway_.backends.pace.find(service_);
-    const core::duration usual =
-        pace == gateway_.backends.pace.end() ? core::duration() : pace->second.latency;
-    return attempts_.back()->started + std::max(part_of(route_->objective, second_send_part),
-                                                part_of(usual, second_send_latency_factor));
+    return request::second_send_time({.arrived = arrived_,
+                                      .sent = attempts_.back()->started,
+                                      .objective = route_->objective,
+                                      .way = way_back,
+                                      .usual = pace().median});
+}
+
+routing::route_pace& request_flow::pace() const
+{
+    return gateway_.route_paces[route_->host + route_->prefix];
 }
 
 bool request_flow::may_send_now(core::time_point now) const
@@ -377,7 +380,8 @@
     gateway_.pool.put_back(server, entry.at.connection);
     if (entry.result.answer->result_int() < 500)
     {
-        routing::on_answered(gateway_.backends, server, latency, now);
+        routing::on_answered(gateway_.backends, server, latency, pace().median, now);
+        routing::note_latency(pace(), latency);
         request::apply(progress_, progress_event::answer);
         return std::move(entry.result.answer);
     }
--- a/src/net/request_flow.hpp
+++ b/src/net/request_flow.hpp
@@ -53,6 +53,7 @@
     std::optional<http_response> settle(attempt& entry);
     std::optional<http_response> settle_answer(attempt& entry, core::duration latency);
     void settle_loss(attempt& entry, core::time_point now);
+    routing::route_pace& pace() const;
     std::size_t open_attempts() const;
     std::optional<core::time_point> second_send_time() const;
     bool may_send_now(core::time_point now) const;
--- a/src/net/target_choice.cpp
+++ b/src/net/target_choice.cpp
@@ -17,6 +17,10 @@
 /// Candidates that are asked at once. The best of two already avoids most full servers; each more
 /// costs its server the time of a probe.
 constexpr std::size_t asked_candidates = 2;
+/// Rounds in which candidates are asked.
+constexpr int max_rounds = 2;
+/// A server whose work takes longer than this factor at the moment is passed over if another is not.
+constexpr double slow_factor = 1.5;
 /// A server that takes longer to tell its load is passed over.
 constexpr core::duration answer_limit = std::chrono::milliseconds(40);
 
@@ -99,15 +103,23 @@
     all->done.cancel();
 }
 
+bool is_good(const target& entry, core::time_point now)
+{
+    return entry.server->reading && !routing::is_full(*entry.server, now) &&
+           entry.server->reading->slowdown <= slow_factor;
+}
+
+bool has_good_answer(const measurements& all, core::time_point now)
+{
+    return std::any_of(all.answered.begin(), all.answered.end(),
+                       [&](const target& entry) { return is_good(entry, now); });
+}
+
 bool has_idle_answer(const measurements& all, core::time_point now)
 {
     return std::any_of(all.answered.begin(), all.answered.end(),
                        [&](const target& entry)
-                       {
-                           return entry.server->reading && !routing::is_full(*entry.server, now) &&
-                                  entry.server->reading->running == 0 &&
-                                  entry.server->reading->slowdown <= 1.0;
-                       });
+                       { return is_good(entry, now) && entry.server->reading->running == 0; });
 }
 
 // Waits until all candidates have answered, one is idle, or the limit has passed.
@@ -126,36 +138,34 @@
     }
 }
 
-} // namespace
-
-asio::awaitable<target_choice> choose_target(gateway& gateway, const target_request& request)
+// Asks the next candidates. Returns how many there were.
+std::size_t ask_candidates(gateway& gateway, const std::shared_ptr<measurements>& all,
+                           const target_request& request,
+                           std::vector<routing::backend_pointer>& passed_over)
 {
-    target_choice out;
-    const core::time_point begun = core::elapsed_now();
     const std::vector<routing::backend_pointer> list =
-        routing::candidates(gateway.backends, request.service, request.excluded, asked_candidates,
-                            begun, gateway.random);
-    out.candidates = list.size();
-    if (list.empty())
-    {
-        co_return out;
-    }
-    const auto all = std::make_shared<measurements>(gateway.io);
-    all->pending = list.size();
+        routing::candidates(gateway.backends, request.service, passed_over, asked_candidates,
+                            core::elapsed_now(), gateway.random);
+    all->pending += list.size();
     for (const routing::backend_pointer& server : list)
     {
+        passed_over.push_back(server);
         asio::co_spawn(gateway.io, measure_into(gateway, all, server), asio::detached);
     }
-    co_await wait_for_answers(*all, std::min(request.deadline, begun + 4 * answer_limit));
-    all->closed = true;
+    return list.size();
+}
+
+target_choice take_best(gateway& gateway, measurements& all)
+{
+    target_choice out;
     const core::time_point now = core::elapsed_now();
-    std::sort(all->answered.begin(), all->answered.end(),
+    std::sort(all.answered.begin(), all.answered.end(),
               [&](const target& a, const target& b)
               {
                   return routing::expected_cost(gateway.backends, *a.server, now) <
                          routing::expected_cost(gateway.backends, *b.server, now);
               });
-    for (target& entry : all->answered)
+    for (target& entry : all.answered)
     {
         out.full += routing::is_full(*entry.server, now) ? 1 : 0;
         if (!out.chosen && routing::may_send(gateway.backends, *entry.server, now))
@@ -167,6 +177,35 @@
             gateway.pool.put_back(*entry.server, entry.connection);
         }
     }
+    return out;
+}
+
+} // namespace
+
+asio::awaitable<target_choice> choose_target(gateway& gateway, const target_request& request)
+{
+    const auto all = std::make_shared<measurements>(gateway.io);
+    std::vector<routing::backend_pointer> passed_over(request.excluded.begin(),
+                                                      request.excluded.end());
+    std::size_t asked = 0;
+    for (int round = 0; round < max_rounds; ++round)
+    {
+        const std::size_t next = ask_candidates(gateway, all, request, passed_over);
+        asked += next;
+        if (next == 0)
+        {
+            break;
+        }
+        co_await wait_for_answers(
+            *all, std::min(request.deadline, core::elapsed_now() + 4 * answer_limit));
+        if (has_good_answer(*all, core::elapsed_now()))
+        {
+            break;
+        }
+    }
+    all->closed = true;
+    target_choice out = take_best(gateway, *all);
+    out.candidates = asked;
     co_return out;
 }
 
--- a/src/net/target_choice.hpp
+++ b/src/net/target_choice.hpp
@@ -1,5 +1,5 @@
 /// Chooses the backend server for one request: asks a few candidates for their load on connections
-/// that the request may then take.
+/// that the request may then take, and a few more when all of these are full or slow.
 #pragma once
 
 #include "net/gateway.hpp"
--- a/src/routing/backends.cpp
+++ b/src/routing/backends.cpp
@@ -17,6 +17,8 @@
 constexpr core::duration reading_lifetime = std::chrono::milliseconds(40);
 /// Weight of the newest result in the averages.
 constexpr double newest_weight = 0.3;
+/// The same for the average of a service, which has many more results.
+constexpr double average_weight = 0.05;
 /// Time in which observations lose two thirds of their weight.
 constexpr core::duration memory = std::chrono::seconds(5);
 constexpr double suspect_error_rate = 0.4;
@@ -409,24 +411,37 @@
     static_cast<void>(set);
 }
 
-void on_answered(backend_set& set, backend& server, core::duration latency, core::time_point now)
+void note_latency(route_pace& pace, core::duration latency)
+{
+    // Steps of equal size up and down settle where half of the answers are on each side.
+    constexpr double step = 0.05;
+    const double median = core::to_seconds(pace.median);
+    pace.median = median <= 0.0 ? latency
+                                : core::from_seconds(median * (core::to_seconds(latency) > median
+                                                                   ? 1.0 + step
+                                                                   : 1.0 - step));
+}
+
+void on_answered(backend_set& set, backend& server, core::duration latency, core::duration usual,
+                 core::time_point now)
 {
     on_released(server);
     note_result(server, false, now);
+    server.suspicions = 0;
     service_pace& pace = set.pace[server.listed.service];
     const double taken = core::to_seconds(latency);
-    const double usual = core::to_seconds(pace.latency);
-    if (usual <= 0.0)
+    const double average = core::to_seconds(pace.latency);
+    pace.latency =
+        average <= 0.0 ? latency
+                       : core::from_seconds(average + average_weight * (taken - average));
+    if (usual <= core::duration::zero())
     {
-        pace.latency = latency;
         return;
     }
-    pace.latency = core::from_seconds(usual + 0.05 * (taken - usual));
-    const double ratio = std::clamp(taken / usual, 0.2, 10.0);
+    const double ratio = std::clamp(taken / core::to_seconds(usual), 0.2, 10.0);
     server.slowness = 1.0 + (server.slowness - 1.0) * decay(now - server.slowness_at);
     server.slowness += newest_weight * (ratio - server.slowness);
     server.slowness_at = now;
-    server.suspicions = 0;
 }
 
 void on_failed(backend_set& set, backend& server, failure_kind kind, core::time_point now)
--- a/src/routing/backends.hpp
+++ b/src/routing/backends.hpp
@@ -82,6 +82,15 @@
     core::duration warmup{};
 };
 
+/// Usual latency of one route's requests: half of them are answered sooner.
+struct route_pace
+{
+    core::duration median{}; ///< Zero before the first answer.
+};
+
+/// Takes an answer into account. Not thread safe.
+void note_latency(route_pace& pace, core::duration latency);
+
 struct backend_set_options
 {
     std::string self;        ///< This daemon's name among the members.
@@ -148,7 +157,9 @@
 void on_sent(backend& server);
 void on_reading(backend_set& set, backend& server, const load_reading& reading,
                 core::duration warmup_left);
-void on_answered(backend_set& set, backend& server, core::duration latency, core::time_point now);
+/// `usual` is the latency that the request's route has usually; zero when it is not known.
+void on_answered(backend_set& set, backend& server, core::duration latency, core::duration usual,
+                 core::time_point now);
 void on_failed(backend_set& set, backend& server, failure_kind kind, core::time_point now);
 /// The request left the server for a reason that says nothing about it.
 void on_released(backend& server);
--- a/test/correctness/routing/backends_test.cpp
+++ b/test/correctness/routing/backends_test.cpp
@@ -199,6 +199,18 @@
     EXPECT_EQ(at("a").state, backend_state::cold);
 }
 
+// Guards against a usual latency that is drawn up by a few slow answers.
+TEST(route_pace, the_median_is_followed_and_not_the_mean)
+{
+    route_pace pace;
+    for (int i = 0; i < 400; ++i)
+    {
+        note_latency(pace, i % 4 == 3 ? 500ms : 100ms);
+    }
+    EXPECT_GT(pace.median, 85ms);
+    EXPECT_LT(pace.median, 130ms);
+}
+
 // Guards against header texts that are read as a load although they are none.
 TEST(load_header, only_whole_reports_are_read)
 {
