Tell full servers from unreachable ones, keep hubs while the platform is down, log what decided an attempt

Now a question for the load stays open for a second and its server is passed over meanwhile; four silences in a row, or a failed connection, make it suspect. At most four hubs are connected, and the first that can be reached serves the accounts.

--- a/src/fleet/hub_choice.cpp
+++ b/src/fleet/hub_choice.cpp
@@ -12,6 +12,8 @@
 
 /// One hub may be lost without a gap.
 constexpr std::size_t hubs = 2;
+/// Hubs that are connected while not enough of them are current.
+constexpr std::size_t most_hubs = 4;
 /// A hub sends several messages in this time.
 constexpr core::duration silent_after = std::chrono::milliseconds(1300);
 /// Changes must be in force everywhere within about two seconds of being made.
@@ -27,10 +29,14 @@
     return found == choice.candidates.end() ? nullptr : &*found;
 }
 
+bool is_reached(const hub_candidate& candidate, core::time_point now)
+{
+    return candidate.connected && now - candidate.heard < silent_after;
+}
+
 bool is_current(const hub_candidate& candidate, core::time_point now)
 {
-    return candidate.connected && now - candidate.heard < silent_after &&
-           now - candidate.current_at < stale_after;
+    return is_reached(candidate, now) && now - candidate.current_at < stale_after;
 }
 
 // Not tried yet, or connected a moment ago. Counting such candidates keeps a daemon from opening
@@ -49,9 +55,10 @@
 void for_each_considered(const hub_choice& choice, core::time_point now, Visit visit)
 {
     std::size_t usable = 0;
+    std::size_t reached = 0;
     for (const hub_candidate& candidate : choice.candidates)
     {
-        if (usable >= hubs || !visit(candidate))
+        if (usable >= hubs || reached >= most_hubs || !visit(candidate))
         {
             return;
         }
@@ -59,6 +66,7 @@
         const bool counts =
             self || is_current(candidate, now) || may_become_current(candidate, now);
         usable += counts ? 1 : 0;
+        reached += counts || is_reached(candidate, now) ? 1 : 0;
     }
 }
 
@@ -191,7 +199,7 @@
     for_each_considered(choice, now,
                         [&](const hub_candidate& candidate)
                         {
-                            if (candidate.address == choice.self || is_current(candidate, now))
+                            if (candidate.address == choice.self || is_reached(candidate, now))
                             {
                                 out = candidate.address;
                             }
--- a/src/fleet/hub_choice.hpp
+++ b/src/fleet/hub_choice.hpp
@@ -1,8 +1,9 @@
 /// Which daemons are this daemon's hubs, and whether it reads the platform's store itself.
 ///
 /// All daemons order the candidates alike: the seeds of the settings first, then the other members
-/// by hash. The first two that can be reached and are current are the hubs. A daemon that is among
-/// them, that has subscribers, or that has no current hub watches the store.
+/// by hash. The first two that can be reached and are current are the hubs; while they are out of
+/// date, the next two are asked as well. A daemon that is among them, that has subscribers, or that
+/// has no current hub watches the store.
 #pragma once
 
 #include "core/time.hpp"
@@ -57,8 +58,8 @@
 /// Returns whether this daemon is among its own hubs.
 bool is_hub(const hub_choice& choice, core::time_point now);
 
-/// Returns the address of the first hub that is current, this daemon's own address when it comes
-/// first itself, or nothing.
+/// Returns the address of the first hub that can be reached, this daemon's own address when it
+/// comes first itself, or nothing. It may be out of date: while the platform is down, all are.
 std::optional<std::string> primary_hub(const hub_choice& choice, core::time_point now);
 
 /// Returns whether a hub feeds this daemon with all changes.
--- a/src/limits/account_pools.cpp
+++ b/src/limits/account_pools.cpp
@@ -18,6 +18,8 @@
 constexpr core::duration grant_lifetime = std::chrono::seconds(1);
 /// Members that come to a hub bring this time of their part of the rate.
 constexpr core::duration welcome_time = std::chrono::milliseconds(500);
+/// A daemon that starts knows no member yet.
+constexpr std::size_t least_members_alone = 20;
 constexpr core::duration shortest_retry_after = std::chrono::milliseconds(50);
 constexpr core::duration longest_retry_after = std::chrono::seconds(10);
 
@@ -50,6 +52,19 @@
     bucket.tokens = std::min(bucket.tokens, depth);
 }
 
+// The unused part of the tolerance, divided by the members. It is rounded by chance, so that the
+// parts add up to the whole although each is a fraction of a request.
+void start_alone(account_pools& pools, const account_limit& limit, account_bucket& bucket,
+                 core::time_point now)
+{
+    const double known = to_double(std::max(pools.members_known, least_members_alone));
+    const double whole = limit.rate * core::to_seconds(pools.tolerance.window) + limit.burst;
+    const double unused = (whole * pools.tolerance.overage + pools.tolerance.slack) *
+                          (1.0 - used_tolerance) / known;
+    bucket.tokens = std::min(bucket.depth, std::floor(unused + core::uniform(pools.random)));
+    bucket.filled = now;
+}
+
 void resize_all(account_pools& pools, core::time_point now)
 {
     const double known = to_double(std::max<std::size_t>(pools.members_known, 1));
@@ -67,8 +82,13 @@
             std::max(1.0, limit.rate * core::to_seconds(welcome_time)) * come;
         pool.tokens = std::min(pool.depth, pool.tokens + welcome);
         pool.part = own_part;
-        resize(pools.alone_parts[name], limit.rate / known, std::max(1.0, limit.burst / known),
-               now);
+        account_bucket& alone = pools.alone_parts[name];
+        const bool is_new = alone.filled == core::time_point();
+        resize(alone, limit.rate / known, std::max(1.0, limit.burst / known), now);
+        if (is_new)
+        {
+            start_alone(pools, limit, alone, now);
+        }
     }
 }
 
@@ -111,26 +131,16 @@
     }
 }
 
-void set_alone(account_pools& pools, bool alone, core::time_point now,
-               core::random_generator& random)
+void set_alone(account_pools& pools, bool alone, core::time_point now)
 {
     if (alone == pools.alone)
     {
         return;
     }
     pools.alone = alone;
-    const double known = to_double(std::max<std::size_t>(pools.members_known, 1));
-    const core::duration window = pools.tolerance.window;
     for (auto& [name, bucket] : pools.alone_parts)
     {
-        const account_limit& limit = pools.limits[name];
-        const double whole = limit.rate * core::to_seconds(window) + limit.burst;
-        const double unused = (whole * pools.tolerance.overage + pools.tolerance.slack) *
-                              (1.0 - used_tolerance) / known;
-        // Rounded by chance: the members' parts add up to the whole although each is a fraction.
-        bucket.tokens =
-            std::min(bucket.depth, std::floor(unused + core::uniform(random)));
-        bucket.filled = now;
+        start_alone(pools, pools.limits[name], bucket, now);
     }
 }
 
--- a/src/limits/account_pools.hpp
+++ b/src/limits/account_pools.hpp
@@ -65,6 +65,7 @@
     std::size_t members_own = 0;   ///< Members that named this daemon as their hub.
     std::size_t members_known = 1; ///< All members known lately.
     bool alone = true;             ///< No hub is reached.
+    core::random_generator random; ///< Rounds fractions of requests.
     std::unordered_map<std::string, account_limit> limits;
     std::unordered_map<std::string, account_bucket> pools;       ///< This daemon's as a hub.
     std::unordered_map<std::string, account_bucket> alone_parts; ///< For the time without a hub.
@@ -81,8 +82,7 @@
 void set_members(account_pools& pools, std::size_t own, std::size_t known, core::time_point now);
 
 /// Says whether a hub is reached. Without one the daemon starts with its part of the tolerance.
-void set_alone(account_pools& pools, bool alone, core::time_point now,
-               core::random_generator& random);
+void set_alone(account_pools& pools, bool alone, core::time_point now);
 
 bool is_limited(const account_pools& pools, const std::string& account);
 
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -171,7 +171,7 @@
     {
         const core::time_point now = core::elapsed_now();
         limits::set_members(gateway_.accounts, view.members_own, view.members_known, now);
-        limits::set_alone(gateway_.accounts, !view.hub_reached, now, gateway_.random);
+        limits::set_alone(gateway_.accounts, !view.hub_reached, now);
         gateway_.repeats.members = view.members_known;
         gateway_.backends.members = view.members;
     }
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -94,6 +94,7 @@
     : io(context), profile(std::move(http)), options(std::move(how)), pool(io, profile),
       log(options.log), random(options.random_seed)
 {
+    accounts.random.seed(random());
     backends.options.self = options.vm;
     backends.options.data_centre = options.data_centre;
 }
--- a/src/net/request_flow.cpp
+++ b/src/net/request_flow.cpp
@@ -283,17 +283,19 @@
         deadline_ = core::elapsed_now();
         co_return false;
     }
-    start_attempt(chosen);
+    start_attempt(choice);
     co_return true;
 }
 
-void request_flow::start_attempt(target chosen)
+void request_flow::start_attempt(target_choice choice)
 {
     const core::time_point now = core::elapsed_now();
     gateway_.counters.repeats += attempts_.empty() ? 0 : 1;
     auto entry = std::make_shared<attempt>();
-    entry->at = std::move(chosen);
+    entry->at = std::move(*choice.chosen);
     entry->started = now;
+    entry->candidates = choice.candidates;
+    entry->reading = entry->at.server->reading;
     routing::on_sent(*entry->at.server);
     request::apply(progress_, progress_event::bytes_left);
     tried_.push_back(entry->at.server);
@@ -342,10 +344,7 @@
     const core::time_point now = core::elapsed_now();
     const core::duration latency = now - entry.started;
     routing::backend& server = *entry.at.server;
-    trail_.push_back({{"server", server.listed.id},
-                      {"ms", to_ms(latency)},
-                      {"end", to_string(entry.result.end)},
-                      {"status", entry.result.answer ? entry.result.answer->result_int() : 0}});
+    note_attempt(entry, latency);
     switch (entry.result.end)
     {
     case exchange_end::answered:
@@ -366,6 +365,26 @@
     }
 }
 
+void request_flow::note_attempt(const attempt& entry, core::duration latency)
+{
+    boost::json::object line = {
+        {"server", entry.at.server->listed.id},
+        {"sent_ms", to_ms(entry.started - arrived_)},
+        {"ms", to_ms(latency)},
+        {"end", entry.ended ? to_string(entry.result.end) : "open"},
+        {"status", entry.result.answer ? entry.result.answer->result_int() : 0},
+        {"candidates", entry.candidates}};
+    if (entry.reading)
+    {
+        line["running"] = entry.reading->running;
+        line["waiting"] = entry.reading->waiting;
+        line["slots"] = entry.reading->slots;
+        line["slowdown"] = entry.reading->slowdown;
+        line["reading_age_ms"] = to_ms(entry.started - entry.reading->at);
+    }
+    trail_.push_back(std::move(line));
+}
+
 // An error that a server states counts as run. Another server may do better with an idempotent
 // request.
 std::optional<http_response> request_flow::settle_answer(attempt& entry, core::duration latency)
@@ -473,6 +492,13 @@
 
 void request_flow::log_end(std::string_view outcome, unsigned status)
 {
+    for (const auto& entry : attempts_)
+    {
+        if (!entry->settled)
+        {
+            note_attempt(*entry, core::elapsed_now() - entry->started);
+        }
+    }
     gateway_.log.write("requests", outcome == "answered" ? "answered" : "not_answered",
                        {{"request", described_.id},
                         {"outcome", outcome},
--- a/src/net/request_flow.hpp
+++ b/src/net/request_flow.hpp
@@ -36,6 +36,8 @@
     {
         target at;
         core::time_point started;
+        std::size_t candidates = 0;                   ///< Asked for their load.
+        std::optional<routing::load_reading> reading; ///< That decided.
         bool ended = false;
         bool settled = false;
         exchange_result result;
@@ -46,7 +48,8 @@
     std::string choose_service();
     asio::awaitable<http_response> serve();
     asio::awaitable<bool> send_to_next();
-    void start_attempt(target chosen);
+    void start_attempt(target_choice choice);
+    void note_attempt(const attempt& entry, core::duration latency);
     static asio::awaitable<void> carry_out(std::shared_ptr<request_flow> flow,
                                            std::shared_ptr<attempt> entry, http_request message);
     std::optional<http_response> settle_ended();
--- a/src/net/target_choice.cpp
+++ b/src/net/target_choice.cpp
@@ -21,8 +21,10 @@
 constexpr int max_rounds = 2;
 /// A server whose work takes longer than this factor at the moment is passed over if another is not.
 constexpr double slow_factor = 1.5;
-/// A server that takes longer to tell its load is passed over.
-constexpr core::duration answer_limit = std::chrono::milliseconds(40);
+/// A choice waits no longer for candidates. A server that is full answers when a slot is free.
+constexpr core::duration choice_limit = std::chrono::milliseconds(40);
+/// A question that is open for longer is given up with its connection.
+constexpr core::duration answer_limit = std::chrono::milliseconds(1000);
 
 /// The measurements of one choice. It outlives the choice while slow candidates are still asked.
 struct measurements
@@ -52,26 +54,27 @@
 {
     // A kept connection may have gone silent or been forgotten by the server, which says nothing
     // about the server itself; only a failure on a new one does.
+    routing::on_asked(*server, core::elapsed_now());
     backend_connection_pointer connection = gateway.pool.take_idle(*server, core::time_point());
-    const bool kept = connection != nullptr;
     const std::string path = health_path(gateway, server->listed.service);
     probe_result result;
-    if (kept)
+    if (connection)
     {
         result = co_await gateway.pool.probe(connection, server->listed.id, path, answer_limit);
     }
-    if (!result.answered)
+    if (!result.answered && !(connection && connection->timer.expired()))
     {
         connection = co_await gateway.pool.connect(*server);
-        if (connection)
+        if (!connection)
         {
-            result =
-                co_await gateway.pool.probe(connection, server->listed.id, path, answer_limit);
+            note_unusable(gateway, server, routing::failure_kind::unreachable);
+            co_return nullptr;
         }
+        result = co_await gateway.pool.probe(connection, server->listed.id, path, answer_limit);
     }
     if (!result.answered)
     {
-        note_unusable(gateway, server, routing::failure_kind::unreachable);
+        routing::on_silence(gateway.backends, *server, core::elapsed_now());
         co_return nullptr;
     }
     if (!result.right_server)
@@ -79,10 +82,10 @@
         note_unusable(gateway, server, routing::failure_kind::wrong_server);
         co_return nullptr;
     }
-    if (result.load)
-    {
-        routing::on_reading(gateway.backends, *server, *result.load, result.warmup_left);
-    }
+    const routing::load_reading reading =
+        result.load.value_or(routing::load_reading{.slots = server->listed.slots,
+                                                   .at = core::elapsed_now()});
+    routing::on_reading(gateway.backends, *server, reading, result.warmup_left);
     co_return connection->reusable ? connection : nullptr;
 }
 
@@ -197,7 +200,7 @@
             break;
         }
         co_await wait_for_answers(
-            *all, std::min(request.deadline, core::elapsed_now() + 4 * answer_limit));
+            *all, std::min(request.deadline, core::elapsed_now() + choice_limit));
         if (has_good_answer(*all, core::elapsed_now()))
         {
             break;
--- a/src/routing/backends.cpp
+++ b/src/routing/backends.cpp
@@ -30,6 +30,12 @@
 constexpr double remote_cost = 1.1;
 /// A slowdown changes within this time, so that it does not last for a long request.
 constexpr core::duration slowdown_lifetime = std::chrono::milliseconds(60);
+/// A server that has not told its load within this time is taken to be full.
+constexpr core::duration prompt_answer = std::chrono::milliseconds(40);
+/// A full server that broke a question off may have room again after this time.
+constexpr core::duration busy_time = std::chrono::milliseconds(100);
+/// Questions without an answer in a row after which a server is suspect.
+constexpr std::uint32_t max_silences = 4;
 /// Members that send to one cold server.
 constexpr std::size_t cold_senders = 2;
 
@@ -184,6 +190,11 @@
     return true;
 }
 
+bool is_silent(const backend& server, core::time_point now)
+{
+    return now < server.busy_until || (server.asked_at && now - *server.asked_at > prompt_answer);
+}
+
 bool is_fresh(const backend& server, core::time_point now)
 {
     return server.reading && now - server.reading->at < reading_lifetime;
@@ -318,6 +329,7 @@
     std::vector<ranked> good;
     std::vector<ranked> suspect;
     std::vector<ranked> cold;
+    std::size_t silent = 0;
     const auto found = set.by_service.find(service);
     if (found == set.by_service.end())
     {
@@ -330,6 +342,11 @@
         {
             continue;
         }
+        if (is_silent(*server, now))
+        {
+            ++silent;
+            continue;
+        }
         // Chance breaks ties, so that daemons with equal views spread their requests.
         const double cost = expected_cost(set, *server, now) * (1.0 + 0.05 * core::uniform(random));
         auto& list = server->state == backend_state::serving   ? good
@@ -353,7 +370,8 @@
             out.push_back(entry.server);
         }
     }
-    const double total = static_cast<double>(good.size() + suspect.size() + cold.size());
+    const double total =
+        static_cast<double>(good.size() + suspect.size() + cold.size() + silent);
     if (out.empty() || static_cast<double>(suspect.size()) > total * max_suspect_part)
     {
         sort_by_cost(suspect);
@@ -382,6 +400,27 @@
     return out;
 }
 
+void on_asked(backend& server, core::time_point now)
+{
+    if (!server.asked_at)
+    {
+        server.asked_at = now;
+    }
+}
+
+void on_silence(backend_set& set, backend& server, core::time_point now)
+{
+    server.asked_at.reset();
+    server.busy_until = now + busy_time;
+    ++server.silences;
+    if (server.silences >= max_silences)
+    {
+        server.silences = 0;
+        on_sent(server);
+        on_failed(set, server, failure_kind::unreachable, now);
+    }
+}
+
 void on_sent(backend& server)
 {
     ++server.in_flight;
@@ -400,6 +439,8 @@
                 core::duration warmup_left)
 {
     server.reading = reading;
+    server.asked_at.reset();
+    server.silences = 0;
     if (warmup_left > core::duration::zero())
     {
         const bool was_cold = server.state == backend_state::cold;
@@ -448,6 +489,7 @@
 {
     static_cast<void>(set);
     on_released(server);
+    server.asked_at.reset();
     note_result(server, true, now);
     const bool certain = kind == failure_kind::unreachable || kind == failure_kind::wrong_server;
     if (certain || server.error_rate > suspect_error_rate)
--- a/src/routing/backends.hpp
+++ b/src/routing/backends.hpp
@@ -63,6 +63,10 @@
     core::time_point cold_until;
     core::time_point suspect_until; ///< No probe before.
     std::uint32_t suspicions = 0;   ///< In a row; each doubles the time until the next probe.
+    /// Since when a question for its load is open; a server that is full answers late.
+    std::optional<core::time_point> asked_at;
+    core::time_point busy_until; ///< It broke a question off, as full servers do.
+    std::uint32_t silences = 0;  ///< Questions without an answer in a row.
     std::uint32_t in_flight = 0;    ///< Requests of this daemon.
     std::optional<load_reading> reading;
     double error_rate = 0.0; ///< Moving average over this daemon's own requests.
@@ -154,6 +158,11 @@
 /// Returns suspect servers that are due for a probe and moves their next probe on.
 std::vector<backend_pointer> due_probes(backend_set& set, core::time_point now);
 
+/// A question for the load begins; it ends by on_reading, on_silence or on_failed.
+void on_asked(backend& server, core::time_point now);
+/// The question was broken off or not answered, although the server accepts connections.
+void on_silence(backend_set& set, backend& server, core::time_point now);
+
 void on_sent(backend& server);
 void on_reading(backend_set& set, backend& server, const load_reading& reading,
                 core::duration warmup_left);
--- a/test/correctness/routing/backends_test.cpp
+++ b/test/correctness/routing/backends_test.cpp
@@ -177,6 +177,28 @@
     EXPECT_EQ(due_probes(set, start + 2s).size(), 1U);
 }
 
+// Guards against a full server that gets nothing for a long time: it answers questions for its load
+// only when a slot is free. One that is silent for good must not stay a candidate.
+TEST_F(backends_test, a_server_that_is_late_with_its_load_is_passed_over_and_not_suspect)
+{
+    apply_listing(set, listing("a"), start);
+    apply_listing(set, listing("b"), start);
+    on_asked(at("a"), start);
+    EXPECT_EQ(names(start + 10ms), (strings{"a", "b"}));
+    EXPECT_EQ(names(start + 50ms), (strings{"b"}));
+    on_reading(set, at("a"), {.running = 2, .slots = 2, .at = start + 200ms}, {});
+    EXPECT_EQ(names(start + 200ms), (strings{"a", "b"}));
+    for (int i = 0; i < 3; ++i)
+    {
+        on_silence(set, at("a"), start + 1s);
+        EXPECT_EQ(at("a").state, backend_state::serving);
+    }
+    EXPECT_EQ(names(start + 1s), (strings{"b"}));
+    EXPECT_EQ(names(start + 1200ms), (strings{"a", "b"}));
+    on_silence(set, at("a"), start + 2s);
+    EXPECT_EQ(at("a").state, backend_state::suspect);
+}
+
 // Guards against a full or slow server that is chosen before an idle one.
 TEST_F(backends_test, fresh_readings_decide_and_old_ones_do_not)
 {
