--- /dev/null
+++ b/bench/control_cost.sh
@@ -0,0 +1,170 @@
+#!/usr/bin/env bash
+# Cost of control per daemon in real fleets on loopback, without requests: processor time, memory and bytes to peers and
+# to the platform, first idle, then with one published change every 2 s (an account key is replaced).
+#
+# usage: bench/control_cost.sh [BUILD_DIR]
+# environment: CONTROL_SIZES ("8 19 38" daemons), CONTROL_SECONDS (30 per phase), CONTROL_SETTLE_SECONDS (5 between
+#              readiness and the first phase: finding the hubs is a boot cost)
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${1:-build}
+# shellcheck source=bench/support/processes.sh
+source bench/support/processes.sh
+
+sizes=${CONTROL_SIZES:-8 19 38}
+seconds=${CONTROL_SECONDS:-30}
+settle=${CONTROL_SETTLE_SECONDS:-5}
+change_interval=2
+watchers=2 # The hubs.
+# Section 1.4 of the design page.
+processor_bound=1.2 memory_bound=64 bytes_bound=2048
+platform=31000 control=31001 callers=31100 admin=31200 peer=31300 backend=31400
+
+start_fleet() { # SIZE
+    local size=$1 i centres=(kandy-1 kandy-2 kandy-3 kandy-4)
+    local name slots first=$backend next_control=$control count
+    "$build/bin/kandy" --base-port $backend >"$bench_folder/config.json"
+    for ((i = 0; i < size; i++)); do
+        write_settings "$bench_folder/vm-$((i + 1)).json" "vm-$((i + 1))" "${centres[i % 4]}" lanka \
+            $((callers + i)) $((admin + i)) $((peer + i)) $platform \
+            "\"$ip:$peer\", \"$ip:$((peer + 1))\", \"$ip:$((peer + 2))\""
+    done
+    "$build/bin/platform_stub" --listen $ip:$platform --config "$bench_folder/config.json" >"$bench_folder/platform.log" 2>&1 &
+    stub_pids+=($!)
+    while read -r name slots; do
+        count=$(grep -cE "\"name\": *\"$name-[0-9]+\", *\"data_centre\"" "$bench_folder/config.json")
+        "$build/bin/backend_stub" --service "$name" --listen $ip:$first --count "$count" --control $ip:$next_control \
+            --slots "$slots" >"$bench_folder/$name.log" 2>&1 &
+        stub_pids+=($!)
+        first=$((first + count))
+        next_control=$((next_control + 1))
+    done < <(sed -nE 's/.*"name": *"([^"]*)", *"slots": *([0-9]+).*/\1 \2/p' "$bench_folder/config.json")
+    for ((i = 0; i < size; i++)); do
+        "$build/bin/zinniaferry" --settings "$bench_folder/vm-$((i + 1)).json" >"$bench_folder/vm-$((i + 1)).log" 2>&1 &
+        daemon_pids+=($!)
+    done
+    for ((i = 0; i < size; i++)); do wait_until_ready $((admin + i)) "${daemon_pids[i]}"; done
+}
+
+# Publishes a version with another key of the first account every `change_interval` until it is stopped.
+publish_changes() {
+    local version=1 digest
+    trap 'exit 0' TERM
+    while true; do
+        version=$((version + 1))
+        digest=$(printf 'bench-key-%d' $version | sha256sum | cut -d' ' -f1)
+        sed -E "s/\"version\": *[0-9]+/\"version\":$version/
+                0,/\"keys\"/s/\"keys\": *\[[^]]*\]/\"keys\":[\"$digest\"]/" "$bench_folder/config.json" >"$bench_folder/next.json"
+        curl -sf -m 5 -o /dev/null -X PUT --data-binary "@$bench_folder/next.json" "http://$ip:$platform/control/config" ||
+            note "version $version could not be published"
+        echo "$version" >"$bench_folder/published"
+        sleep $change_interval
+    done
+}
+
+# Metrics are read before the first and after the last reading of processor time, so that they do not count.
+read_metrics() { # SIZE FILE: one line per daemon: bytes out, bytes in
+    local i
+    for ((i = 0; i < $1; i++)); do
+        curl -sf -m 5 "http://$ip:$((admin + i))/metrics" |
+            awk '/^zinnia_peer_bytes_sent_total/ { out = $2 } /^zinnia_peer_bytes_received_total/ { in_ = $2 } END { print out + 0, in_ + 0 }'
+    done >"$2"
+}
+read_processor() { # FILE
+    local pid
+    for pid in "${daemon_pids[@]}"; do processor_seconds "$pid"; echo; done >"$1"
+}
+platform_bytes() {
+    local counters
+    counters=$(curl -sf -m 5 "http://$ip:$platform/control/counters")
+    echo "$(number_in "$counters" bytes_in) $(number_in "$counters" bytes_out) $(number_in "$counters" calls)"
+}
+
+measure_phase() { # SIZE PHASE
+    local name="control_cost/$1/$2" folder=$bench_folder begun ended
+    local in_before out_before calls_before in_after out_after calls_after
+    read_metrics "$1" "$folder/bytes.before"
+    read -r in_before out_before calls_before < <(platform_bytes)
+    begun=$(date +%s%N)
+    read_processor "$folder/processor.before"
+    sleep "$seconds"
+    read_processor "$folder/processor.after"
+    ended=$(date +%s%N)
+    read_metrics "$1" "$folder/bytes.after"
+    read -r in_after out_after calls_after < <(platform_bytes)
+    local elapsed
+    elapsed=$(awk "BEGIN { print ($ended - $begun) / 1e9 }")
+    paste "$folder/processor.before" "$folder/processor.after" |
+        awk -v s="$elapsed" '{ printf "%.4f\n", 100 * ($2 - $1) / s }' >"$folder/processor"
+    paste "$folder/bytes.before" "$folder/bytes.after" | awk -v s="$elapsed" '{ printf "%.1f\n", ($3 - $1) / s }' >"$folder/sent"
+    paste "$folder/bytes.before" "$folder/bytes.after" | awk -v s="$elapsed" '{ printf "%.1f\n", ($4 - $2) / s }' >"$folder/received"
+    local pid
+    for pid in "${daemon_pids[@]}"; do resident_mb "$pid"; echo; done >"$folder/memory"
+    # The stub counts all daemons together. Nearly all calls come from the watchers, so the largest counts their part.
+    local to_platform from_platform to_watcher from_watcher callers_count=$(($1 < watchers ? $1 : watchers))
+    to_platform=$(awk "BEGIN { printf \"%.1f\", ($in_after - $in_before) / $elapsed / $1 }")
+    from_platform=$(awk "BEGIN { printf \"%.1f\", ($out_after - $out_before) / $elapsed / $1 }")
+    to_watcher=$(awk "BEGIN { printf \"%.1f\", ($in_after - $in_before) / $elapsed / $callers_count }")
+    from_watcher=$(awk "BEGIN { printf \"%.1f\", ($out_after - $out_before) / $elapsed / $callers_count }")
+    note "$name: load average $(load_average), $elapsed s"
+    print_result "$name/processor_mean" "$(mean <"$folder/processor")" % null null
+    print_result "$name/processor_largest" "$(largest <"$folder/processor")" % $processor_bound null
+    print_result "$name/memory_mean" "$(mean <"$folder/memory")" MB null null
+    print_result "$name/memory_largest" "$(largest <"$folder/memory")" MB $memory_bound null
+    print_result "$name/peer_bytes_sent_mean" "$(mean <"$folder/sent")" B/s null null
+    print_result "$name/peer_bytes_sent_largest" "$(largest <"$folder/sent")" B/s null null
+    print_result "$name/peer_bytes_received_mean" "$(mean <"$folder/received")" B/s null null
+    print_result "$name/peer_bytes_received_largest" "$(largest <"$folder/received")" B/s null null
+    print_result "$name/platform_bytes_sent_mean" "$to_platform" B/s null null
+    print_result "$name/platform_bytes_received_mean" "$from_platform" B/s null null
+    print_result "$name/platform_bytes_sent_watcher" "$to_watcher" B/s null null
+    print_result "$name/platform_bytes_received_watcher" "$from_watcher" B/s null null
+    print_result "$name/bytes_sent_largest" "$(awk "BEGIN { print $(largest <"$folder/sent") + $to_watcher }")" B/s $bytes_bound null
+    print_result "$name/bytes_received_largest" "$(awk "BEGIN { print $(largest <"$folder/received") + $from_watcher }")" B/s $bytes_bound null
+    print_result "$name/platform_calls" "$(awk "BEGIN { printf \"%.1f\", ($calls_after - $calls_before) / $elapsed }")" 1/s null null
+    local file
+    for file in processor memory sent received; do
+        echo "$1 $(mean <"$folder/$file")" >>"$folder/slope.$2.$file"
+    done
+}
+
+# Every daemon must have the last published version, or the phase measured a fleet that did not take part.
+check_versions() { # SIZE
+    local i version published behind=0
+    published=$(cat "$bench_folder/published")
+    sleep 2
+    for ((i = 0; i < $1; i++)); do
+        version=$(curl -sf -m 5 "http://$ip:$((admin + i))/metrics" | awk '/^zinnia_configuration_version/ { print $2 }')
+        if [[ $version != "$published" ]]; then behind=$((behind + 1)); fi
+    done
+    print_result "control_cost/$1/changes/daemons_behind" $behind daemons 0 null
+}
+
+# Least squares over the sizes: what one more daemon in the fleet adds to the mean of each.
+print_slopes() {
+    local phase entry name unit slope
+    for phase in idle changes; do
+        for entry in processor:% memory:MB sent:B/s received:B/s; do
+            name=${entry%%:*} unit=${entry#*:}
+            slope=$(awk '{ n++; x += $1; y += $2; xx += $1 * $1; xy += $1 * $2 }
+                END { d = n * xx - x * x; print (d > 0 ? (n * xy - x * y) / d : "null") }' "$bench_folder/slope.$phase.$name")
+            print_result "control_cost/slope/$phase/$name" "$slope" "$unit/daemon" null null
+        done
+    done
+}
+
+for size in $sizes; do
+    start_fleet "$size"
+    sleep "$settle"
+    measure_phase "$size" idle
+    publish_changes &
+    helper_pid=$!
+    sleep $change_interval
+    measure_phase "$size" changes
+    stop_all "$helper_pid"
+    helper_pid=''
+    check_versions "$size"
+    stop_processes
+done
+print_slopes
+exit $bench_failed
--- /dev/null
+++ b/bench/support/processes.sh
@@ -0,0 +1,86 @@
+# Shared by the benchmarks that start real processes: result lines, figures from /proc and an orderly stop.
+# Sourced by bash with `set -euo pipefail`.
+
+source "$(dirname "${BASH_SOURCE[0]}")/../../tools/processes.sh"
+
+ip=127.0.0.1
+admin_credential=loopback-admin-credential
+bench_failed=0
+bench_folder=$(mktemp -d)
+daemon_pids=()
+stub_pids=()
+helper_pid=''
+
+stop_processes() {
+    if [[ -n $helper_pid ]]; then stop_all "$helper_pid"; fi
+    stop_all "${daemon_pids[@]}"
+    stop_all "${stub_pids[@]}"
+    helper_pid=''
+    daemon_pids=()
+    stub_pids=()
+}
+
+finish() {
+    # A second signal must not leave processes behind.
+    trap - EXIT
+    trap '' INT TERM
+    stop_processes
+    rm -rf "$bench_folder"
+    exit "$1"
+}
+trap 'finish $?' EXIT
+trap 'finish 1' INT TERM
+
+note() { echo "$*" >&2; }
+
+# NAME VALUE UNIT BOUND BASELINE: one result line. `null` stands for no bound and no baseline.
+print_result() {
+    local pass=null
+    if [[ $4 != null ]]; then
+        pass=$(awk -v value="$2" -v bound="$4" 'BEGIN { print value <= bound ? "true" : "false" }')
+        if [[ $pass == false ]]; then bench_failed=1; fi
+    fi
+    printf '{"name":"%s","value":%s,"unit":"%s","bound":%s,"baseline":%s,"pass":%s}\n' "$1" "$2" "$3" "$4" "$5" "$pass"
+}
+
+# Processor time of a process in seconds, user and system. /proc counts in ticks, usually of 10 ms.
+ticks_per_second=$(getconf CLK_TCK)
+processor_seconds() {
+    local stat fields
+    read -r stat <"/proc/$1/stat"
+    read -r -a fields <<<"${stat##*) }"
+    awk -v ticks=$((fields[11] + fields[12])) -v rate="$ticks_per_second" 'BEGIN { printf "%.3f", ticks / rate }'
+}
+
+resident_mb() { awk '/^VmRSS:/ { printf "%.1f", $2 / 1024 }' "/proc/$1/status"; }
+
+load_average() { cut -d' ' -f1 /proc/loadavg; }
+
+# Standard input: numbers, one a line.
+median() { sort -g | awk '{ v[NR] = $1 } END { printf "%.4f", NR % 2 ? v[(NR + 1) / 2] : (v[NR / 2] + v[NR / 2 + 1]) / 2 }'; }
+mean() { awk '{ sum += $1 } END { printf "%.4f", sum / NR }'; }
+largest() { sort -g | tail -n 1; }
+
+# TEXT NAME: the first number with that name in JSON.
+number_in() { grep -oE "\"$2\":-?[0-9.]+([eE][-+]?[0-9]+)?" <<<"$1" | head -n 1 | cut -d: -f2; }
+
+# ADMIN_PORT PID: waits for the readiness of a daemon.
+wait_until_ready() {
+    local tries
+    for ((tries = 0; tries < 300; tries++)); do
+        if curl -sf -m 1 -o /dev/null "http://$ip:$1/readyz"; then return 0; fi
+        if ! kill -0 "$2" 2>/dev/null; then break; fi
+        sleep 0.1
+    done
+    note "the daemon with the admin listener $1 did not get ready"
+    return 1
+}
+
+# FILE VM CENTRE REGION CALLERS ADMIN PEER PLATFORM [SEEDS]: writes the settings of a daemon.
+write_settings() {
+    cat >"$1" <<SETTINGS
+{"vm":"$2", "data_centre":"$3", "region":"$4",
+ "listen":"$ip:$5", "admin_listen":"$ip:$6", "peer_listen":"$ip:$7", "platform":"$ip:$8",
+ "seeds":[${9:-}], "admin_credential":"$admin_credential", "log_format":"text", "stop_grace_ms":1000}
+SETTINGS
+}
--- a/src/config/diff.cpp
+++ b/src/config/diff.cpp
@@ -50,8 +50,7 @@
 
 described describe(const configuration& config)
 {
-    return {.name = "",
-            .values = {{"version", std::to_string(config.version)}}};
+    return {.name = "", .values = {{"version", std::to_string(config.version)}}};
 }
 
 described describe(const region& value)
--- a/src/config/index.cpp
+++ b/src/config/index.cpp
@@ -51,7 +51,8 @@
     }
     for (auto& [host, routes] : out.routes_by_host)
     {
-        std::stable_sort(routes.begin(), routes.end(), [](const route* a, const route* b)
+        std::stable_sort(routes.begin(), routes.end(),
+                         [](const route* a, const route* b)
                          { return a->prefix.size() > b->prefix.size(); });
     }
     for (const account& entry : config->accounts)
--- a/src/config/model.hpp
+++ b/src/config/model.hpp
@@ -41,8 +41,8 @@
     std::vector<core::digest> keys; ///< SHA-256 of each valid key; two during a rotation.
     /// Goes before the route's rank; 0 is the most urgent.
     std::optional<std::uint32_t> rank;
-    double rate = 0.0;              ///< Requests a second over all VMs.
-    double burst = 0.0;             ///< Requests.
+    double rate = 0.0;  ///< Requests a second over all VMs.
+    double burst = 0.0; ///< Requests.
 
     bool operator==(const account&) const = default;
 };
@@ -86,7 +86,7 @@
     std::string service;
     std::vector<split_part> split; ///< Takes the place of `service` when it is not empty.
     std::uint32_t rank = lookup_rank;
-    std::uint32_t attempts = 2;    ///< Backend servers that may run one request.
+    std::uint32_t attempts = 2; ///< Backend servers that may run one request.
     core::duration objective = std::chrono::seconds(1); ///< Latency that callers expect.
     bool idempotent = true;
     bool open = false; ///< Needs no key.
--- a/src/config/printer.cpp
+++ b/src/config/printer.cpp
@@ -179,8 +179,7 @@
 
 std::string print(const configuration& config)
 {
-    std::string out =
-        fmt::format("{{\n\"version\":{}", config.version);
+    std::string out = fmt::format("{{\n\"version\":{}", config.version);
     append_section(out, "regions", config.regions);
     append_section(out, "data_centres", config.data_centres);
     append_section(out, "accounts", config.accounts);
--- a/src/config/reader.cpp
+++ b/src/config/reader.cpp
@@ -29,10 +29,9 @@
 constexpr std::array<field_name, 7> service_fields{
     "name", "slots", "max_connections", "health_path", "warmup_ms", "warmup_rate", "servers"};
 constexpr std::array<field_name, 4> server_fields{"name", "data_centre", "address", "leaving"};
-constexpr std::array<field_name, 10> route_fields{"host",       "prefix",      "service",
-                                                  "split",      "class",       "idempotent",
-                                                  "open",       "attempts",    "timeout_ms",
-                                                  "objective_ms"};
+constexpr std::array<field_name, 10> route_fields{
+    "host",       "prefix", "service",  "split",      "class",
+    "idempotent", "open",   "attempts", "timeout_ms", "objective_ms"};
 constexpr std::array<field_name, 2> split_fields{"service", "weight"};
 constexpr std::array<section_fields, 8> sections{{{"configuration", top_fields},
                                                   {"regions", region_fields},
@@ -137,8 +136,8 @@
     }
     BOOST_LEAF_CHECK(read_decimal(reader, "rate", presence::required,
                                   {.low = min_rate, .high = max_rate}, out.rate));
-    return read_decimal(reader, "burst", presence::required,
-                        {.low = min_burst, .high = max_burst}, out.burst);
+    return read_decimal(reader, "burst", presence::required, {.low = min_burst, .high = max_burst},
+                        out.burst);
 }
 
 // Server names are unique over all services, because a server is known by its name alone.
@@ -213,8 +212,7 @@
                                   out.max_connections));
     BOOST_LEAF_CHECK(read_path(reader, "health_path", presence::optional, out.health_path));
     BOOST_LEAF_CHECK(read_milliseconds(reader, "warmup_ms", presence::optional,
-                                       {.low = core::duration(0), .high = max_warmup},
-                                       out.warmup));
+                                       {.low = core::duration(0), .high = max_warmup}, out.warmup));
     BOOST_LEAF_CHECK(read_decimal(reader, "warmup_rate", presence::optional,
                                   {.low = min_rate, .high = max_rate}, out.warmup_rate));
     return read_entries(reader, "servers", state, out.servers);
@@ -257,8 +255,7 @@
 {
     if (!reader.object.contains("split"))
     {
-        return read_reference(reader, "service", state.services, "a declared service",
-                              out.service);
+        return read_reference(reader, "service", state.services, "a declared service", out.service);
     }
     if (reader.object.contains("service"))
     {
--- a/src/config/reader.hpp
+++ b/src/config/reader.hpp
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "config/model.hpp"
-#include "config/text_file.hpp"
 #include "config/settings.hpp"
+#include "config/text_file.hpp"
 #include "core/error.hpp"
 
 #include <span>
--- a/src/config/text_file.cpp
+++ b/src/config/text_file.cpp
@@ -14,10 +14,8 @@
 boost::leaf::error_id too_large(const std::string& file)
 {
     const std::string limit = std::to_string(max_document_bytes) + " bytes";
-    return boost::leaf::new_error(core::document_error{.file = file,
-                                                       .path = "$",
-                                                       .value = "more than " + limit,
-                                                       .expected = "at most " + limit});
+    return boost::leaf::new_error(core::document_error{
+        .file = file, .path = "$", .value = "more than " + limit, .expected = "at most " + limit});
 }
 
 } // namespace
--- a/src/fleet/hub_choice.cpp
+++ b/src/fleet/hub_choice.cpp
@@ -44,8 +44,7 @@
 bool may_become_current(const hub_candidate& candidate, core::time_point now)
 {
     const bool untried = !candidate.connected && candidate.failures == 0;
-    const bool just_connected = candidate.connected &&
-                                candidate.current_at == core::time_point() &&
+    const bool just_connected = candidate.connected && candidate.current_at == core::time_point() &&
                                 now - candidate.heard < silent_after;
     return untried || just_connected;
 }
@@ -101,8 +100,7 @@
     };
     const auto seeds_end = choice.candidates.begin() + static_cast<std::ptrdiff_t>(choice.seeds);
     choice.candidates.erase(std::remove_if(seeds_end, choice.candidates.end(),
-                                           [&](const hub_candidate& entry)
-                                           {
+                                           [&](const hub_candidate& entry) {
                                                return !entry.connected && !is_member(entry.address);
                                            }),
                             choice.candidates.end());
@@ -119,7 +117,8 @@
         add(entry.address);
     }
     std::sort(choice.candidates.begin() + static_cast<std::ptrdiff_t>(choice.seeds),
-              choice.candidates.end(), [](const hub_candidate& a, const hub_candidate& b)
+              choice.candidates.end(),
+              [](const hub_candidate& a, const hub_candidate& b)
               { return core::stable_hash(a.address) < core::stable_hash(b.address); });
 }
 
--- a/src/fleet/hub_messages.cpp
+++ b/src/fleet/hub_messages.cpp
@@ -35,10 +35,7 @@
         hello.setIncarnation(value.incarnation);
         hello.setRevision(value.revision);
     }
-    void operator()(const report_message& value)
-    {
-        out.initReport().setPrimary(value.primary);
-    }
+    void operator()(const report_message& value) { out.initReport().setPrimary(value.primary); }
     void operator()(const update_message& value)
     {
         auto update = out.initUpdate();
@@ -55,9 +52,8 @@
             changes[i].setRemoved(!change.value.has_value());
             if (change.value)
             {
-                changes[i].setValue(
-                    kj::arrayPtr(reinterpret_cast<const kj::byte*>(change.value->data()),
-                                 change.value->size()));
+                changes[i].setValue(kj::arrayPtr(
+                    reinterpret_cast<const kj::byte*>(change.value->data()), change.value->size()));
             }
         }
     }
@@ -181,8 +177,8 @@
     }
     catch (const kj::Exception&)
     {
-        return boost::leaf::new_error(core::peer_message_error{
-            core::peer_message_error::reason::malformed, bytes.size()});
+        return boost::leaf::new_error(
+            core::peer_message_error{core::peer_message_error::reason::malformed, bytes.size()});
     }
 }
 
--- a/src/fleet/hub_messages.hpp
+++ b/src/fleet/hub_messages.hpp
@@ -76,7 +76,7 @@
 struct fleet_message
 {
     std::uint32_t members_known = 0;
-    bool settled = false; ///< The hub runs for long enough that every member has found it.
+    bool settled = false;        ///< The hub runs for long enough that every member has found it.
     std::vector<member> members; ///< Heard now; empty when they are as told last.
 
     bool operator==(const fleet_message&) const = default;
--- a/src/fleet/registry.cpp
+++ b/src/fleet/registry.cpp
@@ -52,10 +52,8 @@
 void forget_vanished(registry& registry, core::time_point now)
 {
     std::erase_if(registry.members,
-                  [&](const auto& entry)
-                  {
-                      return !entry.second.heard &&
-                             now - entry.second.last_heard > remembered_for;
+                  [&](const auto& entry) {
+                      return !entry.second.heard && now - entry.second.last_heard > remembered_for;
                   });
 }
 
@@ -77,9 +75,9 @@
 
 std::size_t primary_members(const registry& registry)
 {
-    return static_cast<std::size_t>(
-        std::count_if(registry.members.begin(), registry.members.end(),
-                      [](const auto& entry) { return entry.second.primary; }));
+    return static_cast<std::size_t>(std::count_if(registry.members.begin(), registry.members.end(),
+                                                  [](const auto& entry)
+                                                  { return entry.second.primary; }));
 }
 
 } // namespace zinniaferry::fleet
--- a/src/fleet/registry.hpp
+++ b/src/fleet/registry.hpp
@@ -18,7 +18,7 @@
     std::uint64_t incarnation = 0;
     bool heard = false;          ///< Subscribed now.
     core::time_point last_heard; ///< When it was heard last, if not now.
-    bool primary = false; ///< It named this daemon as the hub of its accounts.
+    bool primary = false;        ///< It named this daemon as the hub of its accounts.
 };
 
 struct registry
--- a/src/fleet/replica.hpp
+++ b/src/fleet/replica.hpp
@@ -45,7 +45,8 @@
     core::time_point current_at;
     std::map<std::string, replica_entry> entries;
     std::map<std::string, replica_removal> removed; ///< The latest removals.
-    std::uint64_t sequence = 0; ///< Counts the changes of this replica, in the order of their arrival.
+    std::uint64_t sequence =
+        0; ///< Counts the changes of this replica, in the order of their arrival.
     /// Entries that are missing from a copy read after an outage, and when they count as gone.
     std::map<std::string, core::time_point> missing;
 };
--- a/src/limits/account_pools.cpp
+++ b/src/limits/account_pools.cpp
@@ -59,8 +59,8 @@
 {
     const double known = to_double(std::max(pools.members_known, least_members_alone));
     const double whole = limit.rate * core::to_seconds(pools.tolerance.window) + limit.burst;
-    const double unused = (whole * pools.tolerance.overage + pools.tolerance.slack) *
-                          (1.0 - used_tolerance) / known;
+    const double unused =
+        (whole * pools.tolerance.overage + pools.tolerance.slack) * (1.0 - used_tolerance) / known;
     bucket.tokens = std::min(bucket.depth, std::floor(unused + core::uniform(pools.random)));
     bucket.filled = now;
 }
@@ -72,14 +72,12 @@
     for (const auto& [name, limit] : pools.limits)
     {
         const double rate = limit.rate * overage(pools);
-        const double depth =
-            limit.burst * overage(pools) + pools.tolerance.slack * used_tolerance;
+        const double depth = limit.burst * overage(pools) + pools.tolerance.slack * used_tolerance;
         account_bucket& pool = pools.pools[name];
         resize(pool, rate * own_part, depth * own_part, now);
         // Members that come may have spent their part of the burst at another hub.
         const double come = std::max(0.0, own_part - pool.part);
-        const double welcome =
-            std::max(1.0, limit.rate * core::to_seconds(welcome_time)) * come;
+        const double welcome = std::max(1.0, limit.rate * core::to_seconds(welcome_time)) * come;
         pool.tokens = std::min(pool.depth, pool.tokens + welcome);
         pool.part = own_part;
         account_bucket& alone = pools.alone_parts[name];
@@ -114,7 +112,10 @@
                                           .burst = account.burst * pools.region_part};
         }
     }
-    const auto is_gone = [&](const auto& entry) { return !pools.limits.contains(entry.first); };
+    const auto is_gone = [&](const auto& entry)
+    {
+        return !pools.limits.contains(entry.first);
+    };
     std::erase_if(pools.pools, is_gone);
     std::erase_if(pools.alone_parts, is_gone);
     std::erase_if(pools.grants, is_gone);
--- a/src/limits/account_pools.hpp
+++ b/src/limits/account_pools.hpp
@@ -3,8 +3,8 @@
 ///
 /// No pool is exclusive. A member names one hub as its own, and a hub fills its pools with the part
 /// of the rate that belongs to the members that named it, out of all members known lately. So the
-/// pools add up to the rate however the fleet is divided, but for the seconds in which views differ,
-/// which the operators' bounds have room for.
+/// pools add up to the rate however the fleet is divided, but for the seconds in which views
+/// differ, which the operators' bounds have room for.
 #pragma once
 
 #include "config/model.hpp"
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -60,8 +60,8 @@
     constexpr double longest_ms = 3'600'000.0;
     double ms = 0.0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), ms);
-    const bool good = error == std::errc() && end == text.data() + text.size() && ms > 0.0 &&
-                      ms < longest_ms;
+    const bool good =
+        error == std::errc() && end == text.data() + text.size() && ms > 0.0 && ms < longest_ms;
     return good ? core::from_seconds(ms / 1e3) : core::duration::zero();
 }
 
@@ -222,8 +222,8 @@
     const std::string_view echo = header_value(answer.base(), profile_.request_id);
     const bool echoed = echo == header_value(request.base(), profile_.request_id) ||
                         (echo.empty() && profile_.signature.empty());
-    const bool signed_by_server = profile_.signature.empty() ||
-                                  !header_value(answer.base(), profile_.signature).empty();
+    const bool signed_by_server =
+        profile_.signature.empty() || !header_value(answer.base(), profile_.signature).empty();
     const bool encoded = !header_value(answer.base(), "Content-Encoding").empty();
     return success && (!echoed || !signed_by_server || encoded) ? exchange_end::malformed
                                                                 : exchange_end::answered;
--- a/src/net/caller_session.cpp
+++ b/src/net/caller_session.cpp
@@ -154,8 +154,7 @@
                                     const http_request& message)
 {
     gateway& gateway = connection->sessions.gateway;
-    connection->flow =
-        std::make_shared<request_flow>(gateway, message, core::elapsed_now());
+    connection->flow = std::make_shared<request_flow>(gateway, message, core::elapsed_now());
     watch_caller(connection);
     std::optional<http_response> answer = co_await connection->flow->run();
     connection->flow.reset();
@@ -169,8 +168,7 @@
     {
         answer->body().clear();
     }
-    co_return co_await write_answer(*connection, *answer,
-                                    message.keep_alive() && !gateway.closing);
+    co_return co_await write_answer(*connection, *answer, message.keep_alive() && !gateway.closing);
 }
 
 asio::awaitable<void> refuse_unparsed(caller_connection& connection, const error_code& error)
@@ -183,9 +181,9 @@
     gateway& gateway = connection.sessions.gateway;
     const request::refusal refusal = {.reason = classify_parse_error(error)};
     ++gateway.counters.refused.at(static_cast<std::size_t>(refusal.reason));
-    gateway.log.write("requests", "unreadable",
-                      {{"reason", request::to_string(refusal.reason)},
-                       {"detail", error.message()}});
+    gateway.log.write(
+        "requests", "unreadable",
+        {{"reason", request::to_string(refusal.reason)}, {"detail", error.message()}});
     http_response answer = make_refusal(refusal, gateway.profile, {});
     co_await write_answer(connection, answer, false);
     co_await close_gracefully(connection);
--- a/src/net/configuration_service.cpp
+++ b/src/net/configuration_service.cpp
@@ -35,7 +35,9 @@
             BOOST_LEAF_AUTO(config, config::read_configuration(text, document_key));
             return document{std::make_shared<const config::configuration>(std::move(config)), {}};
         },
-        [](const core::document_error& error) { return document{nullptr, to_string(error)}; },
+        [](const core::document_error& error) {
+            return document{nullptr, to_string(error)};
+        },
         [] {
             return document{nullptr, "an error without a type"};
         });
@@ -88,9 +90,9 @@
         }
         const core::time_point asked = core::elapsed_now();
         ++*calls;
-        std::string target = fmt::format(
-            "/v1/config?after={}&wait_ms={}", context.replica.revision,
-            std::chrono::duration_cast<std::chrono::milliseconds>(watch_wait).count());
+        std::string target =
+            fmt::format("/v1/config?after={}&wait_ms={}", context.replica.revision,
+                        std::chrono::duration_cast<std::chrono::milliseconds>(watch_wait).count());
         const auto answer = co_await client.get(std::move(target), watch_wait + answer_time);
         const unsigned status = answer ? answer->result_int() : 0;
         const bool good = status == 200 || status == 304;
@@ -127,7 +129,11 @@
     return {.follow = [address, calls](follow_context context)
             { return follow(std::move(context), address, calls); },
             .decode = decode,
-            .calls = [calls] { return *calls; }};
+            .calls =
+                [calls]
+            {
+                return *calls;
+            }};
 }
 
 daemon_options make_daemon_options(const config::settings& settings, const std::string& file)
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -85,11 +85,14 @@
                     .region = options.region,
                     .log = options.log,
                     .random_seed = random_number()}),
-          sessions_{.gateway = gateway_}, links_(io_, {options.vm, options.peer_address},
-                                                 random_number(), replica_, gateway_.log,
-                                                 link_events())
+          sessions_{.gateway = gateway_},
+          links_(io_, {options.vm, options.peer_address}, random_number(), replica_, gateway_.log,
+                 link_events())
     {
-        gateway_.ask_hub = [this](std::string account) { return links_.ask(std::move(account)); };
+        gateway_.ask_hub = [this](std::string account)
+        {
+            return links_.ask(std::move(account));
+        };
         apply_settings();
     }
 
@@ -119,12 +122,16 @@
         spawn(accept_callers(sessions_, callers));
         spawn(links_.serve(peers));
         spawn(links_.run());
-        spawn(adapter_.follow({.io = io_,
-                               .replica = replica_,
-                               .log = gateway_.log,
-                               .changed = [this](const std::vector<fleet::entry_change>& changes)
-                               { take(changes); },
-                               .wanted = [this] { return links_.must_follow_platform(); }}));
+        spawn(adapter_.follow(
+            {.io = io_,
+             .replica = replica_,
+             .log = gateway_.log,
+             .changed = [this](const std::vector<fleet::entry_change>& changes) { take(changes); },
+             .wanted =
+                 [this]
+             {
+                 return links_.must_follow_platform();
+             }}));
         spawn(become_ready());
         spawn(maintain_regularly());
         spawn(follow_settings());
@@ -162,8 +169,7 @@
                 .take_from_pool =
                     [this](const std::string& account)
                 {
-                    return limits::take_from_pool(gateway_.accounts, account,
-                                                  core::elapsed_now());
+                    return limits::take_from_pool(gateway_.accounts, account, core::elapsed_now());
                 }};
     }
 
@@ -196,8 +202,8 @@
         const core::time_point started = core::elapsed_now();
         while (lifecycle_.state() == process_state::starting)
         {
-            const bool asked = links_.has_heard_hub() ||
-                               core::elapsed_now() - started >= hub_answer_time;
+            const bool asked =
+                links_.has_heard_hub() || core::elapsed_now() - started >= hub_answer_time;
             if (asked && replica_.complete && gateway_.configuration)
             {
                 lifecycle_.apply(process_event::became_ready);
--- a/src/net/daemon.hpp
+++ b/src/net/daemon.hpp
@@ -88,8 +88,8 @@
     std::string region; ///< Empty when rates are not divided between regions.
     std::string caller_address;
     std::string peer_address;
-    std::string ready_address; ///< Readiness only; empty for none.
-    std::string admin_address; ///< Metrics, readiness and the state dump; empty for none.
+    std::string ready_address;    ///< Readiness only; empty for none.
+    std::string admin_address;    ///< Metrics, readiness and the state dump; empty for none.
     std::string admin_credential; ///< For the state dump; empty for no dump.
     http_profile profile;
     event_log_options log;
--- a/src/net/event_log.cpp
+++ b/src/net/event_log.cpp
@@ -73,45 +73,53 @@
 
 event_log::~event_log() = default;
 
-bool event_log::take_line(std::string_view kind)
+// Starts a new count each second, and tells what the last one left out.
+event_log::kind_count& event_log::count_of(std::string_view kind)
 {
-    if (!options_.enabled)
+    const auto second =
+        std::chrono::duration_cast<std::chrono::seconds>(core::elapsed_now().time_since_epoch())
+            .count();
+    kind_count& count = kinds_[std::string(kind)];
+    if (count.second == second)
     {
-        return false;
+        return count;
     }
-    const auto second = std::chrono::duration_cast<std::chrono::seconds>(
-                            core::elapsed_now().time_since_epoch())
-                            .count();
-    kind_count& count = kinds_[std::string(kind)];
-    if (count.second != second)
+    if (count.left_out > 0)
     {
-        if (count.left_out > 0)
-        {
-            emit({{"time", wall_seconds()},
-                  {"vm", options_.vm},
-                  {"part", "log"},
-                  {"kind", "left_out"},
-                  {"of", kind},
-                  {"lines", count.left_out}});
-        }
-        count = {.second = second};
+        emit({{"time", wall_seconds()},
+              {"vm", options_.vm},
+              {"part", "log"},
+              {"kind", "left_out"},
+              {"of", kind},
+              {"lines", count.left_out}});
     }
-    if (count.lines >= options_.lines_per_kind_and_s)
+    count = {.second = second};
+    return count;
+}
+
+bool event_log::is_open(std::string_view kind)
+{
+    if (!options_.enabled)
     {
-        ++count.left_out;
-        ++left_out_;
         return false;
     }
-    ++count.lines;
-    return true;
+    kind_count& count = count_of(kind);
+    if (count.lines < options_.lines_per_kind_and_s)
+    {
+        return true;
+    }
+    ++count.left_out;
+    ++left_out_;
+    return false;
 }
 
 void event_log::write(std::string_view part, std::string_view kind, boost::json::object fields)
 {
-    if (!take_line(kind))
+    if (!is_open(kind))
     {
         return;
     }
+    ++count_of(kind).lines;
     boost::json::object line = {
         {"time", wall_seconds()}, {"vm", options_.vm}, {"part", part}, {"kind", kind}};
     for (auto& [name, value] : fields)
--- a/src/net/event_log.hpp
+++ b/src/net/event_log.hpp
@@ -38,6 +38,10 @@
     /// is counted instead, and the count is written when the second is over.
     void write(std::string_view part, std::string_view kind, boost::json::object fields);
 
+    /// Returns whether a line of this kind would be written now, so that its fields are gathered
+    /// only then. Counts the line as left out when not.
+    bool is_open(std::string_view kind);
+
     std::uint64_t left_out() const { return left_out_; }
 
 private:
@@ -49,7 +53,7 @@
     };
     struct writer;
 
-    bool take_line(std::string_view kind);
+    kind_count& count_of(std::string_view kind);
     void emit(const boost::json::object& line);
 
     event_log_options options_;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -128,8 +128,7 @@
 void list_server(gateway& gateway, const routing::listed_backend& server, core::time_point now)
 {
     const auto known = gateway.backends.by_id.find(server.id);
-    const bool changed =
-        known == gateway.backends.by_id.end() || known->second->listed != server;
+    const bool changed = known == gateway.backends.by_id.end() || known->second->listed != server;
     routing::apply_listing(gateway.backends, server, now);
     if (changed)
     {
--- a/src/net/gateway_metrics.cpp
+++ b/src/net/gateway_metrics.cpp
@@ -33,7 +33,10 @@
 std::string print_metrics(const gateway& gateway, const daemon_figures& figures)
 {
     const gateway_counters& counters = gateway.counters;
-    const auto number = [](auto value) { return static_cast<double>(value); };
+    const auto number = [](auto value)
+    {
+        return static_cast<double>(value);
+    };
     std::string out;
     print(out, "counter", "zinnia_requests_total", "Requests read.", number(counters.requests));
     print(out, "counter", "zinnia_answered_total", "Answers of backend servers handed over.",
--- a/src/net/hub_links.cpp
+++ b/src/net/hub_links.cpp
@@ -154,9 +154,12 @@
             BOOST_LEAF_ASSIGN(out, fleet::decode_hub_message(body));
             return {};
         },
-        [&](const core::peer_message_error& refused)
-        { log_.write("peers", "refused", {{"why", core::to_string(refused)}}); },
-        [&] { log_.write("peers", "refused", {{"why", "unknown error"}}); });
+        [&](const core::peer_message_error& refused) {
+            log_.write("peers", "refused", {{"why", core::to_string(refused)}});
+        },
+        [&] {
+            log_.write("peers", "refused", {{"why", "unknown error"}});
+        });
     co_return out;
 }
 
@@ -384,9 +387,9 @@
     const core::time_point now = core::elapsed_now();
     fleet::on_heard(choice_, address, update.age, now);
     heard_hub_ = true;
-    const auto changes =
-        update.complete ? fleet::apply_copy(replica_, update.changes, update.revision, {}, now)
-                        : fleet::apply_changes(replica_, update.changes, update.revision);
+    const auto changes = update.complete
+                             ? fleet::apply_copy(replica_, update.changes, update.revision, {}, now)
+                             : fleet::apply_changes(replica_, update.changes, update.revision);
     replica_.current_at = std::max(replica_.current_at, now - update.age);
     events_.changed(changes);
 }
--- a/src/net/message_rules.cpp
+++ b/src/net/message_rules.cpp
@@ -76,9 +76,9 @@
 {
     const std::string_view value = header_value(request.base(), profile.key);
     const std::string_view scheme = profile.key_scheme;
-    const bool fits = value.size() >= scheme.size() &&
-                      boost::beast::iequals(beast_view(value.substr(0, scheme.size())),
-                                            beast_view(scheme));
+    const bool fits =
+        value.size() >= scheme.size() &&
+        boost::beast::iequals(beast_view(value.substr(0, scheme.size())), beast_view(scheme));
     return fits ? value.substr(scheme.size()) : std::string_view();
 }
 
--- a/src/net/request_flow.cpp
+++ b/src/net/request_flow.cpp
@@ -218,9 +218,8 @@
 
 std::size_t request_flow::open_attempts() const
 {
-    return static_cast<std::size_t>(std::count_if(attempts_.begin(), attempts_.end(),
-                                                  [](const auto& entry)
-                                                  { return !entry->settled; }));
+    return static_cast<std::size_t>(std::count_if(
+        attempts_.begin(), attempts_.end(), [](const auto& entry) { return !entry->settled; }));
 }
 
 // When the request may go to a second server although the first has not answered.
@@ -257,8 +256,7 @@
 asio::awaitable<bool> request_flow::send_to_next()
 {
     // A named object: GCC 12 destroys aggregate temporaries of a co_await expression twice.
-    const target_request wanted = {
-        .service = service_, .excluded = tried_, .deadline = deadline_};
+    const target_request wanted = {.service = service_, .excluded = tried_, .deadline = deadline_};
     const target_choice choice = co_await choose_target(gateway_, wanted);
     if (!choice.chosen)
     {
@@ -492,6 +490,11 @@
 
 void request_flow::log_end(std::string_view outcome, unsigned status)
 {
+    const char* kind = outcome == "answered" ? "answered" : "not_answered";
+    if (!gateway_.log.is_open(kind))
+    {
+        return;
+    }
     for (const auto& entry : attempts_)
     {
         if (!entry->settled)
@@ -499,7 +502,7 @@
             note_attempt(*entry, core::elapsed_now() - entry->started);
         }
     }
-    gateway_.log.write("requests", outcome == "answered" ? "answered" : "not_answered",
+    gateway_.log.write("requests", kind,
                        {{"request", described_.id},
                         {"outcome", outcome},
                         {"status", status},
--- a/src/net/status_listener.cpp
+++ b/src/net/status_listener.cpp
@@ -43,9 +43,9 @@
             co_return;
         }
         const http_request request = parser.release();
-        const status_request asked = {
-            .path = {request.target().data(), request.target().size()},
-            .authorization = header_value(request.base(), "Authorization")};
+        const status_request asked = {.path = {request.target().data(), request.target().size()},
+                                      .authorization =
+                                          header_value(request.base(), "Authorization")};
         status_answer answer = request.method() == http::verb::get
                                    ? handler(asked)
                                    : status_answer{405, "text/plain", "only GET\n"};
--- a/src/net/target_choice.cpp
+++ b/src/net/target_choice.cpp
@@ -19,10 +19,14 @@
 constexpr std::size_t asked_candidates = 2;
 /// Rounds in which candidates are asked.
 constexpr int max_rounds = 2;
-/// A server whose work takes longer than this factor at the moment is passed over if another is not.
+/// A server whose work takes longer than this factor at the moment is passed over if another is
+/// not.
 constexpr double slow_factor = 1.5;
 /// A choice waits no longer for candidates. A server that is full answers when a slot is free.
 constexpr core::duration choice_limit = std::chrono::milliseconds(40);
+/// A server that told its load this recently is not asked again; an answer to a request tells it
+/// too.
+constexpr core::duration recent_reading = std::chrono::milliseconds(15);
 /// A question that is open for longer is given up with its connection.
 constexpr core::duration answer_limit = std::chrono::milliseconds(1000);
 
@@ -52,6 +56,14 @@
 asio::awaitable<backend_connection_pointer> measure(gateway& gateway,
                                                     routing::backend_pointer server)
 {
+    const core::time_point now = core::elapsed_now();
+    if (server->reading && now - server->reading->at < recent_reading)
+    {
+        if (auto kept = gateway.pool.take_idle(*server, now - recent_reading))
+        {
+            co_return kept;
+        }
+    }
     // A kept connection may have gone silent or been forgotten by the server, which says nothing
     // about the server itself; only a failure on a new one does.
     routing::on_asked(*server, core::elapsed_now());
@@ -82,9 +94,8 @@
         note_unusable(gateway, server, routing::failure_kind::wrong_server);
         co_return nullptr;
     }
-    const routing::load_reading reading =
-        result.load.value_or(routing::load_reading{.slots = server->listed.slots,
-                                                   .at = core::elapsed_now()});
+    const routing::load_reading reading = result.load.value_or(
+        routing::load_reading{.slots = server->listed.slots, .at = core::elapsed_now()});
     routing::on_reading(gateway.backends, *server, reading, result.warmup_left);
     co_return connection->reusable ? connection : nullptr;
 }
@@ -199,8 +210,8 @@
         {
             break;
         }
-        co_await wait_for_answers(
-            *all, std::min(request.deadline, core::elapsed_now() + choice_limit));
+        co_await wait_for_answers(*all,
+                                  std::min(request.deadline, core::elapsed_now() + choice_limit));
         if (has_good_answer(*all, core::elapsed_now()))
         {
             break;
--- a/src/net/target_choice.hpp
+++ b/src/net/target_choice.hpp
@@ -23,7 +23,7 @@
 {
     std::string service;
     std::span<const routing::backend_pointer> excluded; ///< Servers that failed the request.
-    core::time_point deadline; ///< The choice ends at the latest then.
+    core::time_point deadline;                          ///< The choice ends at the latest then.
 };
 
 struct target_choice
--- a/src/request/progress.cpp
+++ b/src/request/progress.cpp
@@ -82,8 +82,8 @@
 
 bool may_send(const progress& progress)
 {
-    const bool tries_left = progress.refusals < max_refusals &&
-                            progress.failed_connects < max_failed_connects;
+    const bool tries_left =
+        progress.refusals < max_refusals && progress.failed_connects < max_failed_connects;
     switch (progress.state)
     {
     case progress_state::unsent:
--- a/src/routing/backends.cpp
+++ b/src/routing/backends.cpp
@@ -153,8 +153,7 @@
     std::size_t ahead = 0;
     for (const std::string& member : set.members)
     {
-        if (member != set.options.self &&
-            core::rendezvous_weight(server.listed.id, member) > own)
+        if (member != set.options.self && core::rendezvous_weight(server.listed.id, member) > own)
         {
             ++ahead;
         }
@@ -178,8 +177,7 @@
     {
         return false;
     }
-    const double earned =
-        core::to_seconds(now - server.cold_tokens_at) * cold_rate(set, server);
+    const double earned = core::to_seconds(now - server.cold_tokens_at) * cold_rate(set, server);
     server.cold_tokens = std::min(1.0, server.cold_tokens + earned);
     server.cold_tokens_at = now;
     if (server.cold_tokens < 1.0)
@@ -287,9 +285,9 @@
 
 bool may_send(const backend_set& set, const backend& server, core::time_point)
 {
-    return !is_out(set, server) && (server.state == backend_state::serving ||
-                                    server.state == backend_state::cold ||
-                                    server.state == backend_state::suspect);
+    return !is_out(set, server) &&
+           (server.state == backend_state::serving || server.state == backend_state::cold ||
+            server.state == backend_state::suspect);
 }
 
 bool is_full(const backend& server, core::time_point now)
@@ -304,8 +302,7 @@
     double busy = server.in_flight;
     double extra = 0.0;
     const auto pace = set.pace.find(server.listed.service);
-    const double latency =
-        pace == set.pace.end() ? 0.0 : core::to_seconds(pace->second.latency);
+    const double latency = pace == set.pace.end() ? 0.0 : core::to_seconds(pace->second.latency);
     const double base = latency > 0.0 ? latency : 0.1;
     if (is_fresh(server, now))
     {
@@ -370,8 +367,7 @@
             out.push_back(entry.server);
         }
     }
-    const double total =
-        static_cast<double>(good.size() + suspect.size() + cold.size() + silent);
+    const double total = static_cast<double>(good.size() + suspect.size() + cold.size() + silent);
     if (out.empty() || static_cast<double>(suspect.size()) > total * max_suspect_part)
     {
         sort_by_cost(suspect);
@@ -457,10 +453,11 @@
     // Steps of equal size up and down settle where half of the answers are on each side.
     constexpr double step = 0.05;
     const double median = core::to_seconds(pace.median);
-    pace.median = median <= 0.0 ? latency
-                                : core::from_seconds(median * (core::to_seconds(latency) > median
-                                                                   ? 1.0 + step
-                                                                   : 1.0 - step));
+    pace.median =
+        median <= 0.0
+            ? latency
+            : core::from_seconds(median *
+                                 (core::to_seconds(latency) > median ? 1.0 + step : 1.0 - step));
 }
 
 void on_answered(backend_set& set, backend& server, core::duration latency, core::duration usual,
@@ -473,8 +470,7 @@
     const double taken = core::to_seconds(latency);
     const double average = core::to_seconds(pace.latency);
     pace.latency =
-        average <= 0.0 ? latency
-                       : core::from_seconds(average + average_weight * (taken - average));
+        average <= 0.0 ? latency : core::from_seconds(average + average_weight * (taken - average));
     if (usual <= core::duration::zero())
     {
         return;
--- a/src/routing/backends.hpp
+++ b/src/routing/backends.hpp
@@ -67,7 +67,7 @@
     std::optional<core::time_point> asked_at;
     core::time_point busy_until; ///< It broke a question off, as full servers do.
     std::uint32_t silences = 0;  ///< Questions without an answer in a row.
-    std::uint32_t in_flight = 0;    ///< Requests of this daemon.
+    std::uint32_t in_flight = 0; ///< Requests of this daemon.
     std::optional<load_reading> reading;
     double error_rate = 0.0; ///< Moving average over this daemon's own requests.
     core::time_point error_rate_at;
--- a/src/stand_in/backend.cpp
+++ b/src/stand_in/backend.cpp
@@ -215,8 +215,8 @@
 asio::awaitable<http_reply> admit_and_run(backend& server, const http_request& request)
 {
     timing times{.arrived = backend_clock::now()};
-    if (const auto given = find_number(
-            request.headers, lower(server.group->options.profile.time_left_ms)))
+    if (const auto given =
+            find_number(request.headers, lower(server.group->options.profile.time_left_ms)))
     {
         times.deadline = milliseconds(*given);
     }
--- a/src/stand_in/platform.hpp
+++ b/src/stand_in/platform.hpp
@@ -34,7 +34,7 @@
 struct platform
 {
     published configuration;
-    published stale_configuration; ///< Answered in the mode `stale`.
+    published stale_configuration;                ///< Answered in the mode `stale`.
     std::map<std::uint64_t, std::string> history; ///< Every configuration by version.
     platform_mode mode = platform_mode::up;
     std::chrono::milliseconds delay{2000}; ///< Used in the mode `slow`.
--- a/test/correctness/config/config_test.cpp
+++ b/test/correctness/config/config_test.cpp
@@ -219,7 +219,8 @@
             "configuration: version 7 -> 8", "data centre north: state out -> in",
             "account school-3: rate 0.1 -> 20", "account school-3: key 9f86d081884c removed",
             "account school-3: key ab0000000000 added",
-            "service term: added (slots 2, max_connections 250, health_path /health, warmup 3000 ms, "
+            "service term: added (slots 2, max_connections 250, health_path /health, warmup 3000 "
+            "ms, "
             "warmup_rate 2)",
             "server exams-1: service exams -> term",
             "route /exams: removed (host , service exams, split , class browse, idempotent true, "
--- a/test/correctness/limits/account_pools_test.cpp
+++ b/test/correctness/limits/account_pools_test.cpp
@@ -42,8 +42,8 @@
     {
         for (std::size_t i = 0; i < members.size(); ++i)
         {
-            const auto own = static_cast<std::size_t>(
-                std::count(hub.begin(), hub.end(), static_cast<int>(i)));
+            const auto own =
+                static_cast<std::size_t>(std::count(hub.begin(), hub.end(), static_cast<int>(i)));
             set_members(members[i], own, members.size(), now);
             set_alone(members[i], hub[i] < 0, now);
         }
@@ -127,8 +127,7 @@
                 for (; count > 0; --count)
                 {
                     const bool at_few = ms < 4'000;
-                    const std::size_t member =
-                        core::uniform_index(fleet.random, at_few ? 2 : size);
+                    const std::size_t member = core::uniform_index(fleet.random, at_few ? 2 : size);
                     if (fleet.send(member, now))
                     {
                         peak.note(now);
--- a/test/correctness/net/request_flow_test.cpp
+++ b/test/correctness/net/request_flow_test.cpp
@@ -25,8 +25,8 @@
     return "HTTP/1.1 " + head + "\r\n" + rest;
 }
 
-const std::string good = answer("200 OK", std::string(id_line) + signature_line +
-                                              "Content-Length: 5\r\n\r\nhello");
+const std::string good =
+    answer("200 OK", std::string(id_line) + signature_line + "Content-Length: 5\r\n\r\nhello");
 
 std::string request(const std::string& method = "GET", const std::string& path = "/open")
 {
@@ -126,9 +126,9 @@
 // against one that is not promised although no server ran it.
 TEST(request_flow, statuses_promise_not_run_only_when_no_server_ran_the_request)
 {
-    const std::string refused = answer("503 Service Unavailable",
-                                       std::string(id_line) + "X-Zinniaferry-Not-Executed: 1\r\n"
-                                                              "Content-Length: 0\r\n\r\n");
+    const std::string refused =
+        answer("503 Service Unavailable", std::string(id_line) + "X-Zinniaferry-Not-Executed: 1\r\n"
+                                                                 "Content-Length: 0\r\n\r\n");
     const std::string not_run = ask(refused, request("POST", "/keyed"));
     EXPECT_THAT(not_run, StartsWith("HTTP/1.1 503 "));
     EXPECT_THAT(not_run, HasSubstr("Retry-After: "));
@@ -140,9 +140,9 @@
 // Guards against an error of a backend server that loses its status or its mark on the way.
 TEST(request_flow, a_servers_error_is_handed_on_unchanged)
 {
-    const std::string error = answer("500 Internal Server Error", std::string(id_line) +
-                                                                      signature_line +
-                                                                      "Content-Length: 3\r\n\r\nbad");
+    const std::string error =
+        answer("500 Internal Server Error",
+               std::string(id_line) + signature_line + "Content-Length: 3\r\n\r\nbad");
     const std::string out = ask(error, request("POST", "/keyed"));
     EXPECT_THAT(out, StartsWith("HTTP/1.1 500 "));
     EXPECT_THAT(out, HasSubstr(signature_line));
@@ -153,10 +153,9 @@
 TEST(request_flow, a_request_that_cannot_be_framed_closes_the_connection)
 {
     std::string forwarded;
-    const std::string out = ask(good,
-                                "POST /open HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\n\r\n" +
-                                    request(),
-                                &forwarded);
+    const std::string out =
+        ask(good, "POST /open HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\n\r\n" + request(),
+            &forwarded);
     EXPECT_THAT(out, StartsWith("HTTP/1.1 400 "));
     EXPECT_THAT(out, HasSubstr("Connection: close"));
     EXPECT_EQ(forwarded, "");
--- a/test/correctness/net/target_choice_test.cpp
+++ b/test/correctness/net/target_choice_test.cpp
@@ -38,11 +38,8 @@
     void add_at(const std::string& id, const std::string& address,
                 const std::string& where = "near")
     {
-        const routing::listed_backend listed = {.id = id,
-                                                .service = "s",
-                                                .address = address,
-                                                .data_centre = where,
-                                                .slots = 2};
+        const routing::listed_backend listed = {
+            .id = id, .service = "s", .address = address, .data_centre = where, .slots = 2};
         routing::apply_listing(shared.backends, listed, core::elapsed_now());
     }
 
@@ -65,7 +62,8 @@
     }
 
     asio::io_context io;
-    gateway shared{io, test_profile(), {.vm = "vm-1", .data_centre = "near", .log = {.enabled = false}}};
+    gateway shared{
+        io, test_profile(), {.vm = "vm-1", .data_centre = "near", .log = {.enabled = false}}};
     std::vector<std::unique_ptr<test::canned_server>> servers;
 };
 
--- a/test/correctness/platform/decode_test.cpp
+++ b/test/correctness/platform/decode_test.cpp
@@ -114,7 +114,8 @@
     }
     EXPECT_FALSE(decode_server("servers/i-1", ""));
     EXPECT_FALSE(decode_server("other/i-1", good));
-    EXPECT_TRUE(decode_server("servers/i-1", replaced(good, "\"ready\"", "\"draining\""))->draining);
+    EXPECT_TRUE(
+        decode_server("servers/i-1", replaced(good, "\"ready\"", "\"draining\""))->draining);
 }
 
 // Guards against values whose bytes are lost or read beyond their end.
--- a/test/correctness/request/progress_test.cpp
+++ b/test/correctness/request/progress_test.cpp
@@ -37,9 +37,8 @@
     EXPECT_TRUE(has_certainly_not_run(after(true, {event::bytes_left, event::server_refused})));
     EXPECT_FALSE(has_certainly_not_run(after(true, {event::bytes_left})));
     EXPECT_FALSE(has_certainly_not_run(after(true, {event::bytes_left, event::attempt_lost})));
-    EXPECT_FALSE(has_certainly_not_run(
-        after(true, {event::bytes_left, event::attempt_lost, event::bytes_left,
-                     event::server_refused})));
+    EXPECT_FALSE(has_certainly_not_run(after(
+        true, {event::bytes_left, event::attempt_lost, event::bytes_left, event::server_refused})));
     // One of two servers refuses while the other may be running the request.
     EXPECT_FALSE(has_certainly_not_run(
         after(true, {event::bytes_left, event::bytes_left, event::server_refused})));
@@ -57,10 +56,9 @@
         true, {event::bytes_left, event::attempt_lost, event::bytes_left, event::attempt_lost},
         2)));
     // A server that refused did not run it.
-    EXPECT_TRUE(may_send(
-        after(true, {event::bytes_left, event::attempt_lost, event::bytes_left,
-                     event::server_refused},
-              2)));
+    EXPECT_TRUE(may_send(after(
+        true, {event::bytes_left, event::attempt_lost, event::bytes_left, event::server_refused},
+        2)));
 }
 
 // Guards against a request that is offered to every server of a service that refuses all.
--- a/test/correctness/routing/backends_test.cpp
+++ b/test/correctness/routing/backends_test.cpp
@@ -243,7 +243,8 @@
     EXPECT_EQ(read->slots, 8U);
     EXPECT_EQ(read->slowdown, 2.5);
     EXPECT_EQ(parse_listed_load("3,1,8", start)->slowdown, 1.0);
-    for (const char* text : {"", "3", "3,1", "a,b,c", "3;1;8", "-1,0,2", "3,1,8,", "99999999999,0,1"})
+    for (const char* text :
+         {"", "3", "3,1", "a,b,c", "3;1;8", "-1,0,2", "3,1,8,", "99999999999,0,1"})
     {
         EXPECT_FALSE(parse_listed_load(text, start)) << text;
     }
--- a/test/correctness/stand_in/platform_test.cpp
+++ b/test/correctness/stand_in/platform_test.cpp
@@ -15,10 +15,7 @@
 
 struct platform_test : testing::Test
 {
-    platform_test()
-    {
-        EXPECT_TRUE(publish_configuration(state, R"({"version": 3})"));
-    }
+    platform_test() { EXPECT_TRUE(publish_configuration(state, R"({"version": 3})")); }
 
     http_reply get(std::map<std::string, std::string, std::less<>> query = {})
     {
--- a/test/error/net/http_bad_input_test.cpp
+++ b/test/error/net/http_bad_input_test.cpp
@@ -114,8 +114,8 @@
 TEST(bad_input_time, a_half_sent_request_ends_with_408)
 {
     raw_server server(whole_answer);
-    const front_end daemon(one_server_configuration(server.address()),
-                           {}, config::caller_limits{.header_timeout = 200ms});
+    const front_end daemon(one_server_configuration(server.address()), {},
+                           config::caller_limits{.header_timeout = 200ms});
     const std::string answer =
         daemon.exchange("POST /open HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc");
     EXPECT_TRUE(answer.starts_with("HTTP/1.1 408 ")) << answer;
--- a/tutorial/lesson_05_limits_and_cold_servers.cpp
+++ b/tutorial/lesson_05_limits_and_cold_servers.cpp
@@ -39,21 +39,19 @@
                                {.name = "pest", .region = "hungary"}};
     deployment.accounts = {account("alfold-publishing", "a-key-for-lesson-five-a", 1500),
                            account("evening-school", "a-key-for-lesson-five-b", 5)};
-    deployment.services = {
-        {.name = "curriculum",
-         .slots = slots,
-         // Over all VMs together.
-         .max_connections = 250,
-         // A server that has just started runs requests many times slower. It gets few requests
-         // for three seconds, which warm it without queueing.
-         .warmup = 3s,
-         .warmup_rate = 2.0 * slots,
-         .servers = config::make_servers({.name = "curriculum",
-                                          .count = 4,
-                                          .data_centres = {"buda", "pest"},
-                                          .first_port = 9001})}};
-    deployment.routes = {{.prefix = "/curriculum",
-                          .service = "curriculum",
-                          .rank = config::browse_rank}};
+    deployment.services = {{.name = "curriculum",
+                            .slots = slots,
+                            // Over all VMs together.
+                            .max_connections = 250,
+                            // A server that has just started runs requests many times slower. It
+                            // gets few requests for three seconds, which warm it without queueing.
+                            .warmup = 3s,
+                            .warmup_rate = 2.0 * slots,
+                            .servers = config::make_servers({.name = "curriculum",
+                                                             .count = 4,
+                                                             .data_centres = {"buda", "pest"},
+                                                             .first_port = 9001})}};
+    deployment.routes = {
+        {.prefix = "/curriculum", .service = "curriculum", .rank = config::browse_rank}};
     return config::print_deployment(deployment);
 }
