--- a/deploy/deploy.cmake
+++ b/deploy/deploy.cmake
@@ -6,7 +6,7 @@
     fleet/hub_choice fleet/hub_messages fleet/registry fleet/replica limits/account_pools limits/repeat_budget net/backend_pool net/caller_session net/daemon net/deadline_timer
     net/event_log net/gateway net/gateway_metrics net/http_client net/hub_links net/message_rules net/process_lifecycle
     net/request_durations net/request_flow net/status_listener net/target_choice request/progress request/refusal request/second_send
-    routing/backends)
+    routing/backends routing/candidates routing/load_reading)
 list(TRANSFORM DEPLOYED PREPEND src/)
 list(TRANSFORM DEPLOYED APPEND .cpp)
 file(GLOB ADAPTER CONFIGURE_DEPENDS platform/*.cpp)
--- a/src/net/http_profile.hpp
+++ b/src/net/http_profile.hpp
@@ -2,7 +2,7 @@
 /// and the backend connections are the same for every profile.
 #pragma once
 
-#include "routing/backends.hpp"
+#include "routing/load_reading.hpp"
 
 #include <string>
 
--- a/src/net/request_flow.cpp
+++ b/src/net/request_flow.cpp
@@ -1,6 +1,7 @@
 #include "net/request_flow.hpp"
 
 #include "request/second_send.hpp"
+#include "routing/candidates.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/src/net/target_choice.cpp
+++ b/src/net/target_choice.cpp
@@ -1,5 +1,7 @@
 #include "net/target_choice.hpp"
 
+#include "routing/candidates.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
--- a/src/routing/backends.cpp
+++ b/src/routing/backends.cpp
@@ -1,10 +1,7 @@
 #include "routing/backends.hpp"
 
-#include "core/id.hpp"
-
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cmath>
 
 namespace zinniaferry::routing
@@ -13,8 +10,6 @@
 namespace
 {
 
-/// A reading older than this says little: load shifts within milliseconds.
-constexpr core::duration reading_lifetime = std::chrono::milliseconds(40);
 /// Weight of the newest result in the averages.
 constexpr double newest_weight = 0.3;
 /// The same for the average of a service, which has many more results.
@@ -24,20 +19,10 @@
 constexpr double suspect_error_rate = 0.4;
 constexpr core::duration first_suspicion = std::chrono::milliseconds(500);
 constexpr std::uint32_t max_suspicion_doublings = 3;
-/// With more of a service's servers suspect, the suspicion is more likely wrong than right.
-constexpr double max_suspect_part = 0.5;
-/// Cost of another data centre, as a factor: bytes between data centres have a price.
-constexpr double remote_cost = 1.1;
-/// A slowdown changes within this time, so that it does not last for a long request.
-constexpr core::duration slowdown_lifetime = std::chrono::milliseconds(60);
-/// A server that has not told its load within this time is taken to be full.
-constexpr core::duration prompt_answer = std::chrono::milliseconds(40);
 /// A full server that broke a question off may have room again after this time.
 constexpr core::duration busy_time = std::chrono::milliseconds(100);
 /// Questions without an answer in a row after which a server is suspect.
 constexpr std::uint32_t max_silences = 4;
-/// Members that send to one cold server.
-constexpr std::size_t cold_senders = 2;
 
 enum class backend_event
 {
@@ -93,11 +78,6 @@
     return std::exp(-std::max(0.0, core::to_seconds(age)) / core::to_seconds(memory));
 }
 
-double error_rate(const backend& server, core::time_point now)
-{
-    return server.error_rate * decay(now - server.error_rate_at);
-}
-
 void note_result(backend& server, bool failed, core::time_point now)
 {
     server.error_rate =
@@ -127,91 +107,31 @@
     }
 }
 
-void warm_when_due(backend& server, core::time_point now)
-{
-    if (server.state == backend_state::cold && now >= server.cold_until)
-    {
-        apply(server, backend_event::warmed);
-    }
-}
-
-bool is_excluded(std::span<const backend_pointer> excluded, const backend_pointer& server)
-{
-    return std::find(excluded.begin(), excluded.end(), server) != excluded.end();
-}
+} // namespace
 
 bool is_out(const backend_set& set, const backend& server)
 {
     return set.data_centres_out.contains(server.listed.data_centre);
 }
 
-// The members with the highest weights share the server. Views of the fleet differ for seconds, so
-// that two sets of senders may be active: together they stay below what the server bears.
-bool is_cold_sender(const backend_set& set, const backend& server)
+double error_rate(const backend& server, core::time_point now)
 {
-    const std::uint64_t own = core::rendezvous_weight(server.listed.id, set.options.self);
-    std::size_t ahead = 0;
-    for (const std::string& member : set.members)
-    {
-        if (member != set.options.self && core::rendezvous_weight(server.listed.id, member) > own)
-        {
-            ++ahead;
-        }
-    }
-    return ahead < cold_senders;
+    return server.error_rate * decay(now - server.error_rate_at);
 }
 
-double cold_rate(const backend_set& set, const backend& server)
+double slowness(const backend& server, core::time_point now)
 {
-    const auto found = set.pace.find(server.listed.service);
-    const double rate = found == set.pace.end() ? 1.0 : found->second.warmup_rate;
-    const double borne = rate * set.options.cold_overage + set.options.cold_slack;
-    // Half for each of two views, less the one request that a full bucket lets through at once.
-    const double for_one = borne / (2.0 * cold_senders) - 1.0;
-    return std::clamp(for_one, 0.2, std::max(0.2, rate / cold_senders));
+    return 1.0 + (server.slowness - 1.0) * decay(now - server.slowness_at);
 }
 
-bool take_cold_token(const backend_set& set, backend& server, core::time_point now)
+void warm_when_due(backend& server, core::time_point now)
 {
-    if (!is_cold_sender(set, server))
-    {
-        return false;
-    }
-    const double earned = core::to_seconds(now - server.cold_tokens_at) * cold_rate(set, server);
-    server.cold_tokens = std::min(1.0, server.cold_tokens + earned);
-    server.cold_tokens_at = now;
-    if (server.cold_tokens < 1.0)
+    if (server.state == backend_state::cold && now >= server.cold_until)
     {
-        return false;
+        apply(server, backend_event::warmed);
     }
-    server.cold_tokens -= 1.0;
-    return true;
 }
 
-bool is_silent(const backend& server, core::time_point now)
-{
-    return now < server.busy_until || (server.asked_at && now - *server.asked_at > prompt_answer);
-}
-
-bool is_fresh(const backend& server, core::time_point now)
-{
-    return server.reading && now - server.reading->at < reading_lifetime;
-}
-
-struct ranked
-{
-    double cost = 0.0;
-    backend_pointer server;
-};
-
-void sort_by_cost(std::vector<ranked>& list)
-{
-    std::sort(list.begin(), list.end(),
-              [](const ranked& a, const ranked& b) { return a.cost < b.cost; });
-}
-
-} // namespace
-
 const char* to_string(backend_state value)
 {
     constexpr std::array names = {"serving", "cold", "suspect", "draining", "gone"};
@@ -283,105 +203,6 @@
     set.data_centres_out = std::move(out);
 }
 
-bool may_send(const backend_set& set, const backend& server, core::time_point)
-{
-    return !is_out(set, server) &&
-           (server.state == backend_state::serving || server.state == backend_state::cold ||
-            server.state == backend_state::suspect);
-}
-
-bool is_full(const backend& server, core::time_point now)
-{
-    return is_fresh(server, now) &&
-           server.reading->running + server.reading->waiting >= server.reading->slots;
-}
-
-double expected_cost(const backend_set& set, const backend& server, core::time_point now)
-{
-    const double slots = std::max(1U, server.listed.slots);
-    double busy = server.in_flight;
-    double extra = 0.0;
-    const auto pace = set.pace.find(server.listed.service);
-    const double latency = pace == set.pace.end() ? 0.0 : core::to_seconds(pace->second.latency);
-    const double base = latency > 0.0 ? latency : 0.1;
-    if (is_fresh(server, now))
-    {
-        busy = std::max<double>(busy, server.reading->running + server.reading->waiting);
-        extra = std::min(core::to_seconds(slowdown_lifetime),
-                         std::max(0.0, server.reading->slowdown - 1.0) * base);
-    }
-    const double load = (busy + 1.0) / slots;
-    const double slowness =
-        1.0 + std::max(0.0, server.slowness - 1.0) * decay(now - server.slowness_at);
-    const double remote = server.listed.data_centre == set.options.data_centre ? 1.0 : remote_cost;
-    return (base * slowness * (1.0 + std::pow(load, 4.0)) + extra) *
-           (1.0 + 4.0 * error_rate(server, now)) * remote;
-}
-
-std::vector<backend_pointer> candidates(backend_set& set, const std::string& service,
-                                        std::span<const backend_pointer> excluded,
-                                        std::size_t count, core::time_point now,
-                                        core::random_generator& random)
-{
-    std::vector<ranked> good;
-    std::vector<ranked> suspect;
-    std::vector<ranked> cold;
-    std::size_t silent = 0;
-    const auto found = set.by_service.find(service);
-    if (found == set.by_service.end())
-    {
-        return {};
-    }
-    for (const backend_pointer& server : found->second)
-    {
-        warm_when_due(*server, now);
-        if (!may_send(set, *server, now) || is_excluded(excluded, server))
-        {
-            continue;
-        }
-        if (is_silent(*server, now))
-        {
-            ++silent;
-            continue;
-        }
-        // Chance breaks ties, so that daemons with equal views spread their requests.
-        const double cost = expected_cost(set, *server, now) * (1.0 + 0.05 * core::uniform(random));
-        auto& list = server->state == backend_state::serving   ? good
-                     : server->state == backend_state::suspect ? suspect
-                                                               : cold;
-        list.push_back({cost, server});
-    }
-    sort_by_cost(good);
-    std::vector<backend_pointer> out;
-    for (const ranked& entry : good)
-    {
-        if (out.size() < count)
-        {
-            out.push_back(entry.server);
-        }
-    }
-    for (const ranked& entry : cold)
-    {
-        if (out.empty() && take_cold_token(set, *entry.server, now))
-        {
-            out.push_back(entry.server);
-        }
-    }
-    const double total = static_cast<double>(good.size() + suspect.size() + cold.size() + silent);
-    if (out.empty() || static_cast<double>(suspect.size()) > total * max_suspect_part)
-    {
-        sort_by_cost(suspect);
-        for (const ranked& entry : suspect)
-        {
-            if (out.size() < count)
-            {
-                out.push_back(entry.server);
-            }
-        }
-    }
-    return out;
-}
-
 std::vector<backend_pointer> due_probes(backend_set& set, core::time_point now)
 {
     std::vector<backend_pointer> out;
@@ -476,8 +297,8 @@
         return;
     }
     const double ratio = std::clamp(taken / core::to_seconds(usual), 0.2, 10.0);
-    server.slowness = 1.0 + (server.slowness - 1.0) * decay(now - server.slowness_at);
-    server.slowness += newest_weight * (ratio - server.slowness);
+    const double before = slowness(server, now);
+    server.slowness = before + newest_weight * (ratio - before);
     server.slowness_at = now;
 }
 
@@ -503,76 +324,6 @@
     apply(server, backend_event::trial_passed);
 }
 
-std::optional<load_reading> parse_named_load(std::string_view text, core::time_point now)
-{
-    load_reading out{.at = now};
-    std::size_t found = 0;
-    while (!text.empty())
-    {
-        const std::size_t end = std::min(text.find(';'), text.size());
-        const std::string_view part = text.substr(0, end);
-        text.remove_prefix(std::min(end + 1, text.size()));
-        const std::size_t equals = part.find('=');
-        if (equals == std::string_view::npos)
-        {
-            return std::nullopt;
-        }
-        const std::string_view name = part.substr(0, equals);
-        std::uint32_t* target = name == "inflight" ? &out.running
-                                : name == "queue"  ? &out.waiting
-                                : name == "slots"  ? &out.slots
-                                                   : nullptr;
-        const std::string_view value = part.substr(equals + 1);
-        if (target != nullptr)
-        {
-            const char* last = value.data() + value.size();
-            const auto [parsed, error] = std::from_chars(value.data(), last, *target);
-            if (error != std::errc() || parsed != last)
-            {
-                return std::nullopt;
-            }
-            ++found;
-        }
-    }
-    out.slots = std::max(1U, out.slots);
-    return found == 3 ? std::optional(out) : std::nullopt;
-}
-
-std::optional<load_reading> parse_listed_load(std::string_view text, core::time_point now)
-{
-    std::array<std::uint32_t, 4> values = {0, 0, 1, 100};
-    std::size_t count = 0;
-    const char* at = text.data();
-    const char* end = text.data() + text.size();
-    while (count < values.size())
-    {
-        const auto [next, error] = std::from_chars(at, end, values.at(count));
-        if (error != std::errc())
-        {
-            return std::nullopt;
-        }
-        ++count;
-        if (next == end)
-        {
-            break;
-        }
-        if (*next != ',')
-        {
-            return std::nullopt;
-        }
-        at = next + 1;
-    }
-    if (count < 3)
-    {
-        return std::nullopt;
-    }
-    return load_reading{.running = values[0],
-                        .waiting = values[1],
-                        .slots = std::max(1U, values[2]),
-                        .slowdown = static_cast<double>(values[3]) / 100.0,
-                        .at = now};
-}
-
 boost::json::array dump(const backend_set& set, core::time_point now)
 {
     boost::json::array out;
--- a/src/routing/backends.hpp
+++ b/src/routing/backends.hpp
@@ -1,17 +1,15 @@
-/// The backend servers that one daemon knows, with its own observations of each: who may get a
-/// request, and which of a few candidates gets it.
+/// The backend servers that one daemon knows: their life cycle, and its own observations of each.
 #pragma once
 
 #include "chart/chart.hpp"
-#include "core/random.hpp"
 #include "core/time.hpp"
+#include "routing/load_reading.hpp"
 
 #include <boost/json.hpp>
 
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -46,16 +44,6 @@
     bool operator==(const listed_backend&) const = default;
 };
 
-/// Load that a backend server reported of itself.
-struct load_reading
-{
-    std::uint32_t running = 0;
-    std::uint32_t waiting = 0;
-    std::uint32_t slots = 1;
-    double slowdown = 1.0; ///< How much longer work takes there at this moment.
-    core::time_point at;
-};
-
 struct backend
 {
     listed_backend listed;
@@ -138,22 +126,17 @@
 void set_data_centres_out(backend_set& set, std::unordered_set<std::string> out,
                           core::time_point now);
 
-/// Returns up to `count` servers of the service that may get a request now, best first. Servers in
-/// `excluded` are left out. Takes the part of a cold server's allowance when it returns one.
-std::vector<backend_pointer> candidates(backend_set& set, const std::string& service,
-                                        std::span<const backend_pointer> excluded,
-                                        std::size_t count, core::time_point now,
-                                        core::random_generator& random);
+/// Returns whether the data centre of the server is taken out.
+bool is_out(const backend_set& set, const backend& server);
 
-/// Returns whether the server may get a request at this moment. A request is prepared in steps,
-/// and the server may have left meanwhile.
-bool may_send(const backend_set& set, const backend& server, core::time_point now);
+/// Returns the average of the server's errors, which fades with time.
+double error_rate(const backend& server, core::time_point now);
 
-/// Returns the time that a request is expected to take at the server, relative to others.
-double expected_cost(const backend_set& set, const backend& server, core::time_point now);
+/// Returns how much longer than usual the server's answers take; fades to 1 with time.
+double slowness(const backend& server, core::time_point now);
 
-/// Returns whether the server reports, freshly, that it has no room for another request.
-bool is_full(const backend& server, core::time_point now);
+/// Ends a cold start whose time is over.
+void warm_when_due(backend& server, core::time_point now);
 
 /// Returns suspect servers that are due for a probe and moves their next probe on.
 std::vector<backend_pointer> due_probes(backend_set& set, core::time_point now);
@@ -175,15 +158,6 @@
 /// A probe of a suspect server was answered well.
 void on_trial_passed(backend& server);
 
-/// Reads the load that a backend server reports in a header; nothing for other text. Thread safe.
-using load_parser = std::optional<load_reading> (*)(std::string_view text, core::time_point now);
-
-/// "running,waiting,slots[,slowdown in hundredths]".
-std::optional<load_reading> parse_listed_load(std::string_view text, core::time_point now);
-
-/// "inflight=I;queue=Q;slots=S;state=STATE".
-std::optional<load_reading> parse_named_load(std::string_view text, core::time_point now);
-
 boost::json::array dump(const backend_set& set, core::time_point now);
 
 } // namespace zinniaferry::routing
--- /dev/null
+++ b/src/routing/load_reading.cpp
@@ -0,0 +1,80 @@
+#include "routing/load_reading.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace zinniaferry::routing
+{
+
+std::optional<load_reading> parse_named_load(std::string_view text, core::time_point now)
+{
+    load_reading out{.at = now};
+    std::size_t found = 0;
+    while (!text.empty())
+    {
+        const std::size_t end = std::min(text.find(';'), text.size());
+        const std::string_view part = text.substr(0, end);
+        text.remove_prefix(std::min(end + 1, text.size()));
+        const std::size_t equals = part.find('=');
+        if (equals == std::string_view::npos)
+        {
+            return std::nullopt;
+        }
+        const std::string_view name = part.substr(0, equals);
+        std::uint32_t* target = name == "inflight" ? &out.running
+                                : name == "queue"  ? &out.waiting
+                                : name == "slots"  ? &out.slots
+                                                   : nullptr;
+        const std::string_view value = part.substr(equals + 1);
+        if (target != nullptr)
+        {
+            const char* last = value.data() + value.size();
+            const auto [parsed, error] = std::from_chars(value.data(), last, *target);
+            if (error != std::errc() || parsed != last)
+            {
+                return std::nullopt;
+            }
+            ++found;
+        }
+    }
+    out.slots = std::max(1U, out.slots);
+    return found == 3 ? std::optional(out) : std::nullopt;
+}
+
+std::optional<load_reading> parse_listed_load(std::string_view text, core::time_point now)
+{
+    std::array<std::uint32_t, 4> values = {0, 0, 1, 100};
+    std::size_t count = 0;
+    const char* at = text.data();
+    const char* end = text.data() + text.size();
+    while (count < values.size())
+    {
+        const auto [next, error] = std::from_chars(at, end, values.at(count));
+        if (error != std::errc())
+        {
+            return std::nullopt;
+        }
+        ++count;
+        if (next == end)
+        {
+            break;
+        }
+        if (*next != ',')
+        {
+            return std::nullopt;
+        }
+        at = next + 1;
+    }
+    if (count < 3)
+    {
+        return std::nullopt;
+    }
+    return load_reading{.running = values[0],
+                        .waiting = values[1],
+                        .slots = std::max(1U, values[2]),
+                        .slowdown = static_cast<double>(values[3]) / 100.0,
+                        .at = now};
+}
+
+} // namespace zinniaferry::routing
--- a/test/correctness/routing/backends_test.cpp
+++ b/test/correctness/routing/backends_test.cpp
@@ -1,4 +1,4 @@
-#include "routing/backends.hpp"
+#include "routing/candidates.hpp"
 
 #include <gtest/gtest.h>
 
