--- a/src/net/configuration_service.cpp
+++ b/src/net/configuration_service.cpp
@@ -19,7 +19,7 @@
 constexpr core::duration answer_time = std::chrono::milliseconds(1000);
 constexpr core::duration pause_time = std::chrono::milliseconds(200);
 /// The service holds values up to 1 MB; the rest is room for HTTP.
-constexpr std::uint64_t max_answer_size = config::max_document_bytes + 64U * 1024U;
+constexpr std::uint64_t max_answer_size = config::max_document_bytes + 64UL * 1024UL;
 
 struct document
 {
--- a/src/net/event_log.cpp
+++ b/src/net/event_log.cpp
@@ -113,7 +113,8 @@
     return false;
 }
 
-void event_log::write(std::string_view part, std::string_view kind, boost::json::object fields)
+void event_log::write(std::string_view part, std::string_view kind,
+                      const boost::json::object& fields)
 {
     if (!is_open(kind))
     {
@@ -122,9 +123,9 @@
     ++count_of(kind).lines;
     boost::json::object line = {
         {"time", wall_seconds()}, {"vm", options_.vm}, {"part", part}, {"kind", kind}};
-    for (auto& [name, value] : fields)
+    for (const auto& [name, value] : fields)
     {
-        line[name] = std::move(value);
+        line[name] = value;
     }
     emit(line);
 }
--- a/src/net/event_log.hpp
+++ b/src/net/event_log.hpp
@@ -36,7 +36,7 @@
 
     /// Writes a line with the time, `part` (the fixed prefix) and `kind`. A line beyond the bound
     /// is counted instead, and the count is written when the second is over.
-    void write(std::string_view part, std::string_view kind, boost::json::object fields);
+    void write(std::string_view part, std::string_view kind, const boost::json::object& fields);
 
     /// Returns whether a line of this kind would be written now, so that its fields are gathered
     /// only then. Counts the line as left out when not.
