--- /dev/null
+++ b/test/correctness/net/event_log_test.cpp
@@ -0,0 +1,71 @@
+#include "net/event_log.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace zinniaferry::net
+{
+namespace
+{
+
+using testing::HasSubstr;
+
+// Returns what `write` puts on standard output; the log's thread ends with the log.
+template <class Write>
+std::string logged(const event_log_options& options, Write write)
+{
+    testing::internal::CaptureStdout();
+    {
+        event_log log(options);
+        write(log);
+    }
+    return testing::internal::GetCapturedStdout();
+}
+
+// Guards against lines that programs cannot read, or that lack their VM or part.
+TEST(event_log, a_line_is_one_json_object_with_its_part)
+{
+    const std::string out =
+        logged({.vm = "vm-1"},
+               [](event_log& log) {
+                   log.write("requests", "answered", {{"request", "a \"quoted\" id"}});
+               });
+    EXPECT_THAT(out, HasSubstr(R"("vm":"vm-1","part":"requests","kind":"answered")"));
+    EXPECT_THAT(out, HasSubstr(R"("request":"a \"quoted\" id"})"));
+    const std::string text = logged({.vm = "vm-1", .format = config::log_format::text},
+                                    [](event_log& log) {
+                                        log.write("daemon", "ready", {{"version", 3}});
+                                    });
+    EXPECT_THAT(text, HasSubstr(R"(part="daemon" kind="ready" version=3)"));
+}
+
+// Guards against a log that grows with the load, and against lines that vanish uncounted.
+TEST(event_log, lines_of_a_kind_beyond_the_bound_are_counted)
+{
+    std::uint64_t left_out = 0;
+    const std::string out = logged({.vm = "vm-1", .lines_per_kind_and_s = 3},
+                                   [&](event_log& log)
+                                   {
+                                       for (int i = 0; i < 50; ++i)
+                                       {
+                                           log.write("requests", "answered", {{"i", i}});
+                                       }
+                                       log.write("daemon", "ready", {});
+                                       left_out = log.left_out();
+                                   });
+    // The loop may cross into a second second.
+    EXPECT_GE(left_out, 44U);
+    EXPECT_LE(std::count(out.begin(), out.end(), '\n'), 8);
+    EXPECT_THAT(out, HasSubstr(R"("kind":"ready")")) << "another kind has a bound of its own";
+}
+
+// Guards against a log that is switched off and still written or counted.
+TEST(event_log, a_log_that_is_off_writes_nothing)
+{
+    EXPECT_EQ(logged({.vm = "vm-1", .enabled = false},
+                     [](event_log& log) { log.write("daemon", "ready", {}); }),
+              "");
+}
+
+} // namespace
+} // namespace zinniaferry::net
--- /dev/null
+++ b/test/correctness/net/gateway_metrics_test.cpp
@@ -0,0 +1,51 @@
+#include "net/gateway_metrics.hpp"
+
+#include "config/text_file.hpp"
+
+#include <gtest/gtest.h>
+
+#include <sstream>
+
+namespace zinniaferry::net
+{
+namespace
+{
+
+// Guards against metrics that operators cannot find on their page, and a page that names others.
+TEST(gateway_metrics, the_operators_page_names_every_metric)
+{
+    asio::io_context io;
+    gateway shared(io, {}, {.vm = "vm-1", .log = {.enabled = false}});
+    const std::string page =
+        config::read_text_file(std::string(ZINNIA_SOURCE_DIR) + "/docs/OPERATIONS.md").value();
+    std::istringstream lines(print_metrics(shared, {}));
+    std::size_t metrics = 0;
+    for (std::string line; std::getline(lines, line);)
+    {
+        if (line.starts_with("# TYPE "))
+        {
+            const std::string name = line.substr(7, line.find(' ', 7) - 7);
+            EXPECT_NE(page.find("`" + name), std::string::npos) << name;
+            ++metrics;
+        }
+    }
+    EXPECT_GT(metrics, 10U);
+}
+
+// Guards against counters that are printed under another name or not at all.
+TEST(gateway_metrics, counters_are_printed_with_their_values)
+{
+    asio::io_context io;
+    gateway shared(io, {}, {.vm = "vm-1", .log = {.enabled = false}});
+    shared.counters.requests = 7;
+    shared.counters.refused.at(static_cast<std::size_t>(request::refusal_reason::over_limit)) = 2;
+    shared.durations.record(std::chrono::milliseconds(5));
+    const std::string page = print_metrics(shared, {.platform_calls = 3});
+    EXPECT_NE(page.find("\nzinnia_requests_total 7\n"), std::string::npos);
+    EXPECT_NE(page.find("zinnia_refusals_total{reason=\"over_limit\"} 2\n"), std::string::npos);
+    EXPECT_NE(page.find("\nzinnia_platform_calls_total 3\n"), std::string::npos);
+    EXPECT_NE(page.find("zinnia_request_duration_seconds_count 1\n"), std::string::npos);
+}
+
+} // namespace
+} // namespace zinniaferry::net
