Share what stood twice: bound charts, accept loops, awaited errors, the daemons' programs; remove what nothing uses

Twice or more stood: the binding of a chart's states and events to enumerations (request, routing; now chart::bind_chart), the accept loop (callers, status, peers; net/accept_loop), the token that stores an awaited operation's error (ten files; net/await_error), the frame of the two daemons' programs (net/daemon_program), and the reload of settings, which also dropped its errors without a line (now a result that the daemon logs). A frame of a peer that is too large and failed accepts of peers and status clients are logged as well.

Dead since the former fleet went: core::process_id, hmac_sha256, two reasons of peer errors, three finders and a route lookup of config, exchange_end::cancelled, target_choice::full, a set that on_reading, on_failed and on_silence never used.

--- a/apps/zinniaferry.cpp
+++ b/apps/zinniaferry.cpp
@@ -1,9 +1,8 @@
 /// The entry daemon: reads its settings and runs until it is told to stop.
-#include "config/reader.hpp"
 #include "config/settings.hpp"
+#include "config/text_file.hpp"
 #include "net/configuration_service.hpp"
-
-#include <cxxopts.hpp>
+#include "net/daemon_program.hpp"
 
 #include <cstdio>
 #include <string>
@@ -13,14 +12,16 @@
 
 using namespace zinniaferry;
 
-constexpr int exit_failure = 1;
-constexpr int exit_wrong_input = 2;
-
-core::result<int> run(const std::string& file, bool check_only)
+core::result<int> run(const cxxopts::ParseResult& given)
 {
+    if (given.count("settings") == 0)
+    {
+        return boost::leaf::new_error(net::usage_error{"--settings FILE is required"});
+    }
+    const std::string file = given["settings"].as<std::string>();
     BOOST_LEAF_AUTO(text, config::read_text_file(file));
     BOOST_LEAF_AUTO(settings, config::read_settings(text, file));
-    if (check_only)
+    if (given.count("check") > 0)
     {
         std::printf("%s: valid settings for VM %s\n", file.c_str(), settings.vm.c_str());
         return 0;
@@ -32,53 +33,12 @@
     return 0;
 }
 
-int report(const std::string& text, int code)
-{
-    std::fprintf(stderr, "zinniaferry: %s\n", text.c_str());
-    return code;
-}
-
-int main_with_options(int argc, char** argv)
-{
-    cxxopts::Options options("zinniaferry", "Entry daemon of the zinniaferry load balancer.");
-    options.add_options()("settings", "settings file, JSON with comments",
-                          cxxopts::value<std::string>())("check", "check the settings and exit")(
-        "version", "print the version")("help", "print this help");
-    const cxxopts::ParseResult parsed = options.parse(argc, argv);
-    if (parsed.count("help") > 0)
-    {
-        std::printf("%s\n", options.help().c_str());
-        return 0;
-    }
-    if (parsed.count("version") > 0)
-    {
-        std::printf("zinniaferry %s\n", ZINNIA_VERSION);
-        return 0;
-    }
-    if (parsed.count("settings") == 0)
-    {
-        return report("--settings FILE is required", exit_wrong_input);
-    }
-    return boost::leaf::try_handle_all(
-        [&] { return run(parsed["settings"].as<std::string>(), parsed.count("check") > 0); },
-        [](const core::document_error& error)
-        { return report(core::to_string(error), exit_wrong_input); },
-        [](const core::file_error& error)
-        { return report(core::to_string(error), exit_wrong_input); },
-        [](const net::listen_error& error) { return report(net::to_string(error), exit_failure); },
-        [] { return report("internal error", exit_failure); });
-}
-
 } // namespace
 
 int main(int argc, char** argv)
 {
-    try
-    {
-        return main_with_options(argc, argv);
-    }
-    catch (const cxxopts::exceptions::exception& error)
-    {
-        return report(error.what(), exit_wrong_input);
-    }
+    cxxopts::Options options("zinniaferry", "Entry daemon of the zinniaferry load balancer.");
+    options.add_options()("settings", "settings file, JSON with comments",
+                          cxxopts::value<std::string>())("check", "check the settings and exit");
+    return net::run_daemon_program(options, argc, argv, run);
 }
--- a/src/chart/chart.cpp
+++ b/src/chart/chart.cpp
@@ -201,4 +201,32 @@
     return position_or_abort(chart.actions, name, chart);
 }
 
+chart_binding bind_chart(std::string_view name, std::span<const char* const> states,
+                         std::span<const char* const> events)
+{
+    chart_binding out;
+    out.chart = &get_chart(name);
+    for (const char* state : states)
+    {
+        out.state_of.push_back(state_index(*out.chart, state));
+    }
+    for (const char* event : events)
+    {
+        out.event_of.push_back(event_index(*out.chart, event));
+    }
+    return out;
+}
+
+std::optional<std::size_t> step(const chart_binding& binding, std::size_t state, std::size_t event)
+{
+    const step_result next =
+        step(*binding.chart, binding.state_of.at(state), binding.event_of.at(event));
+    const auto found = std::find(binding.state_of.begin(), binding.state_of.end(), next.state);
+    if (!next.accepted || found == binding.state_of.end())
+    {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(found - binding.state_of.begin());
+}
+
 } // namespace zinniaferry::chart
--- a/src/chart/chart.hpp
+++ b/src/chart/chart.hpp
@@ -4,6 +4,8 @@
 
 #include "core/error.hpp"
 
+#include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -64,4 +66,21 @@
 index event_index(const state_chart& chart, std::string_view name);
 index action_index(const state_chart& chart, std::string_view name);
 
+/// A chart whose states and events a program names by two enumerations, in their order.
+struct chart_binding
+{
+    const state_chart* chart = nullptr;
+    std::vector<index> state_of; ///< By the number of the state in its enumeration.
+    std::vector<index> event_of; ///< By the number of the event in its enumeration.
+};
+
+/// Binds the embedded chart of that name. Precondition: it has all states and events named, see
+/// get_chart. Thread safe.
+chart_binding bind_chart(std::string_view name, std::span<const char* const> states,
+                         std::span<const char* const> events);
+
+/// Returns the number of the state after `event`, or nothing when the state has no transition for
+/// it. Preconditions: both are numbers of the enumerations. Thread safe.
+std::optional<std::size_t> step(const chart_binding& binding, std::size_t state, std::size_t event);
+
 } // namespace zinniaferry::chart
--- a/src/config/model.cpp
+++ b/src/config/model.cpp
@@ -1,38 +1,8 @@
 #include "config/model.hpp"
 
-#include <algorithm>
-
 namespace zinniaferry::config
 {
 
-namespace
-{
-
-template <class Entry>
-const Entry* find_by_name(const std::vector<Entry>& entries, std::string_view name)
-{
-    const auto found = std::find_if(entries.begin(), entries.end(),
-                                    [&](const Entry& entry) { return entry.name == name; });
-    return found == entries.end() ? nullptr : &*found;
-}
-
-} // namespace
-
-const account* find_account(const configuration& config, std::string_view name)
-{
-    return find_by_name(config.accounts, name);
-}
-
-const service* find_service(const configuration& config, std::string_view name)
-{
-    return find_by_name(config.services, name);
-}
-
-const data_centre* find_data_centre(const configuration& config, std::string_view name)
-{
-    return find_by_name(config.data_centres, name);
-}
-
 double region_part(const configuration& config, std::string_view region)
 {
     double total = 0.0;
@@ -59,18 +29,27 @@
     return next == '/' || next == '?';
 }
 
-const route* find_route(const configuration& config, std::string_view path)
+const std::string& service_of(const route& route, double at)
 {
-    const route* best = nullptr;
-    for (const route& candidate : config.routes)
+    if (route.split.empty())
+    {
+        return route.service;
+    }
+    double total = 0.0;
+    for (const split_part& part : route.split)
+    {
+        total += part.weight;
+    }
+    double left = at * total;
+    for (const split_part& part : route.split)
     {
-        if (prefix_matches(candidate.prefix, path) &&
-            (best == nullptr || candidate.prefix.size() > best->prefix.size()))
+        left -= part.weight;
+        if (left < 0.0)
         {
-            best = &candidate;
+            return part.service;
         }
     }
-    return best;
+    return route.split.back().service;
 }
 
 } // namespace zinniaferry::config
--- a/src/config/model.hpp
+++ b/src/config/model.hpp
@@ -119,12 +119,6 @@
     bool operator==(const configuration&) const = default;
 };
 
-/// Returns the account, service, data centre or server of that name, or nullptr.
-/// Thread safe while the configuration is not modified.
-const account* find_account(const configuration& config, std::string_view name);
-const service* find_service(const configuration& config, std::string_view name);
-const data_centre* find_data_centre(const configuration& config, std::string_view name);
-
 /// Returns the part of the accounts' rates that belongs to the region; 1 when the region is not
 /// listed. Thread safe while the configuration is not modified.
 double region_part(const configuration& config, std::string_view region);
@@ -133,8 +127,8 @@
 /// "/orders", "/orders/7" and "/orders?x", but not "/ordersheet". Thread safe.
 bool prefix_matches(std::string_view prefix, std::string_view path);
 
-/// Returns the route with the longest prefix that `path` starts with at a segment boundary, or
-/// nullptr. Thread safe while the configuration is not modified.
-const route* find_route(const configuration& config, std::string_view path);
+/// Returns the service that a request of the route goes to. `at` in [0, 1) divides the requests of
+/// a split by the weights of its parts. Thread safe while the route is not modified.
+const std::string& service_of(const route& route, double at);
 
 } // namespace zinniaferry::config
--- a/src/core/digest.cpp
+++ b/src/core/digest.cpp
@@ -1,7 +1,6 @@
 #include "core/digest.hpp"
 
 #include <openssl/crypto.h>
-#include <openssl/hmac.h>
 #include <openssl/sha.h>
 
 #include <charconv>
@@ -16,15 +15,6 @@
     return out;
 }
 
-digest hmac_sha256(std::string_view key, std::string_view data)
-{
-    digest out;
-    unsigned int size = out.size();
-    HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
-         reinterpret_cast<const unsigned char*>(data.data()), data.size(), out.data(), &size);
-    return out;
-}
-
 bool equal_in_constant_time(const digest& a, const digest& b)
 {
     return CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
--- a/src/core/digest.hpp
+++ b/src/core/digest.hpp
@@ -15,9 +15,6 @@
 /// Returns the SHA-256 digest of `data`. Thread safe.
 digest sha256(std::string_view data);
 
-/// Returns the HMAC-SHA256 of `data` under `key`. Thread safe.
-digest hmac_sha256(std::string_view key, std::string_view data);
-
 /// Compares without a time that depends on the content. Thread safe.
 bool equal_in_constant_time(const digest& a, const digest& b);
 
--- a/src/core/error.hpp
+++ b/src/core/error.hpp
@@ -34,9 +34,7 @@
     enum class reason
     {
         malformed,
-        too_large,
-        forged,
-        out_of_order
+        too_large
     };
     reason why = reason::malformed;
     std::uint64_t size = 0; ///< Bytes.
--- a/src/core/id.cpp
+++ b/src/core/id.cpp
@@ -1,7 +1,5 @@
 #include "core/id.hpp"
 
-#include <spdlog/fmt/fmt.h>
-
 namespace zinniaferry::core
 {
 
@@ -24,11 +22,6 @@
 
 } // namespace
 
-std::string to_string(const process_id& id)
-{
-    return fmt::format("{}/{:x}", id.vm, id.incarnation);
-}
-
 std::uint64_t stable_hash(std::string_view text, std::uint64_t seed)
 {
     std::uint64_t h = fnv_offset ^ seed;
--- a/src/core/time.hpp
+++ b/src/core/time.hpp
@@ -34,6 +34,12 @@
     return std::chrono::duration<double>(d).count();
 }
 
+/// Returns a duration in milliseconds as a floating-point number. Thread safe.
+constexpr double to_milliseconds(duration d)
+{
+    return std::chrono::duration<double, std::milli>(d).count();
+}
+
 /// Returns the duration nearest to `seconds`. Precondition: |seconds| < 9e9. Thread safe.
 constexpr duration from_seconds(double seconds)
 {
--- /dev/null
+++ b/src/net/accept_loop.hpp
@@ -0,0 +1,43 @@
+/// Accepts connections and serves each in a coroutine of its own.
+#pragma once
+
+#include "net/await_error.hpp"
+#include "net/backend_pool.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace zinniaferry::net
+{
+
+/// Pause after a failed accept: out of descriptors or memory, trying again at once would spin.
+inline constexpr core::duration accept_pause = std::chrono::milliseconds(50);
+
+/// Serves until the acceptor is closed. `serve` takes a socket and returns its coroutine; `failed`
+/// is told of each error. Precondition: the acceptor outlives the operation. Thread safety: the
+/// acceptor's executor only.
+template <class Serve, class Failed>
+asio::awaitable<void> accept_connections(asio::ip::tcp::acceptor& acceptor, Serve serve,
+                                         Failed failed)
+{
+    while (acceptor.is_open())
+    {
+        boost::system::error_code error;
+        asio::ip::tcp::socket socket = co_await acceptor.async_accept(into(error));
+        if (!error)
+        {
+            set_connection_options(socket);
+            asio::co_spawn(acceptor.get_executor(), serve(std::move(socket)), asio::detached);
+        }
+        else if (error != asio::error::operation_aborted)
+        {
+            failed(error);
+            asio::steady_timer pause(acceptor.get_executor(), accept_pause);
+            co_await pause.async_wait(into(error));
+        }
+    }
+}
+
+} // namespace zinniaferry::net
--- /dev/null
+++ b/src/net/await_error.hpp
@@ -0,0 +1,17 @@
+/// Completion token for coroutines that take an operation's error as a value.
+#pragma once
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace zinniaferry::net
+{
+
+/// Makes `co_await` store the operation's error in `error` instead of throwing it. Precondition:
+/// `error` outlives the operation. Thread safe.
+inline auto into(boost::system::error_code& error)
+{
+    return boost::asio::redirect_error(boost::asio::use_awaitable, error);
+}
+
+} // namespace zinniaferry::net
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -1,7 +1,6 @@
 #include "net/backend_pool.hpp"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include "net/await_error.hpp"
 
 #include <array>
 #include <charconv>
@@ -26,11 +25,6 @@
 /// Answers to earlier requests that may precede the expected one on a kept connection.
 constexpr int max_stray_answers = 2;
 
-auto into(error_code& error)
-{
-    return asio::redirect_error(asio::use_awaitable, error);
-}
-
 // A server closes an idle connection at any time. Its FIN, or bytes that nobody asked for, show in
 // the receive buffer, and such a connection must not carry a request.
 bool looks_usable(asio::ip::tcp::socket& socket)
@@ -77,8 +71,8 @@
 
 const char* to_string(exchange_end value)
 {
-    constexpr std::array names = {"answered",  "not_run",   "wrong_server", "broken",
-                                  "malformed", "timed_out", "cancelled"};
+    constexpr std::array names = {"answered", "not_run",   "wrong_server",
+                                  "broken",   "malformed", "timed_out"};
     return names.at(static_cast<std::size_t>(value));
 }
 
--- a/src/net/backend_pool.hpp
+++ b/src/net/backend_pool.hpp
@@ -42,8 +42,7 @@
     wrong_server, ///< Another server has the address; it did not run the request.
     broken,       ///< The connection ended early; the request may have run.
     malformed,    ///< The answer is not whole or not the server's; the request may have run.
-    timed_out,
-    cancelled
+    timed_out
 };
 
 /// Returns the name of the end for logs. Thread safe.
--- a/src/net/caller_session.cpp
+++ b/src/net/caller_session.cpp
@@ -1,12 +1,11 @@
 #include "net/caller_session.hpp"
 
+#include "net/accept_loop.hpp"
 #include "net/request_flow.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
@@ -24,13 +23,6 @@
 constexpr std::size_t read_chunk_bytes = 4UL * 1024UL;
 /// A caller that does not read its answer for so long is given up.
 constexpr core::duration write_timeout = std::chrono::seconds(10);
-/// Pause after a failed accept: out of descriptors or memory, trying again at once would spin.
-constexpr core::duration accept_pause = std::chrono::milliseconds(50);
-
-auto into(error_code& error)
-{
-    return asio::redirect_error(asio::use_awaitable, error);
-}
 
 /// State of one caller's connection.
 struct caller_connection
@@ -192,7 +184,6 @@
 asio::awaitable<void> serve_caller(caller_sessions& sessions, asio::ip::tcp::socket socket)
 {
     auto connection = std::make_shared<caller_connection>(sessions, std::move(socket));
-    set_connection_options(connection->socket);
     bool again = true;
     while (again && co_await wait_for_request(*connection))
     {
@@ -216,22 +207,13 @@
 
 asio::awaitable<void> accept_callers(caller_sessions& sessions, asio::ip::tcp::acceptor& acceptor)
 {
-    while (acceptor.is_open())
-    {
-        error_code error;
-        asio::ip::tcp::socket socket = co_await acceptor.async_accept(into(error));
-        if (!error)
-        {
-            asio::co_spawn(sessions.gateway.io, serve_caller(sessions, std::move(socket)),
-                           asio::detached);
-        }
-        else if (error != asio::error::operation_aborted)
-        {
+    return accept_connections(
+        acceptor,
+        [&sessions](asio::ip::tcp::socket socket)
+        { return serve_caller(sessions, std::move(socket)); },
+        [&sessions](const error_code& error) {
             sessions.gateway.log.write("callers", "accept_failed", {{"error", error.message()}});
-            asio::steady_timer pause(sessions.gateway.io, accept_pause);
-            co_await pause.async_wait(into(error));
-        }
-    }
+        });
 }
 
 void close_idle_sessions(caller_sessions& sessions)
--- a/src/net/configuration_service.cpp
+++ b/src/net/configuration_service.cpp
@@ -1,11 +1,10 @@
 #include "net/configuration_service.hpp"
 
 #include "config/reader.hpp"
+#include "net/await_error.hpp"
 #include "net/http_client.hpp"
 
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <spdlog/fmt/fmt.h>
 
 namespace zinniaferry::net
@@ -57,7 +56,7 @@
 {
     asio::steady_timer timer(io, pause_time);
     boost::system::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    co_await timer.async_wait(into(ignored));
 }
 
 // The replica's revision is the version, so a stale answer changes nothing.
@@ -148,16 +147,11 @@
     out.admin_credential = settings.admin_credential;
     out.log = {.vm = settings.vm, .format = settings.format, .sink = settings.sink};
     out.settings = changeable(settings);
-    out.reload = [file]() -> std::optional<changeable_settings>
+    out.reload = [file]() -> core::result<changeable_settings>
     {
-        return boost::leaf::try_handle_all(
-            [&]() -> core::result<std::optional<changeable_settings>>
-            {
-                BOOST_LEAF_AUTO(text, config::read_text_file(file));
-                BOOST_LEAF_AUTO(read, config::read_settings(text, file));
-                return std::optional(changeable(read));
-            },
-            [] { return std::optional<changeable_settings>(); });
+        BOOST_LEAF_AUTO(text, config::read_text_file(file));
+        BOOST_LEAF_AUTO(read, config::read_settings(text, file));
+        return changeable(read);
     };
     return out;
 }
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -1,6 +1,7 @@
 #include "net/daemon.hpp"
 
 #include "core/digest.hpp"
+#include "net/await_error.hpp"
 #include "net/caller_session.hpp"
 #include "net/gateway_metrics.hpp"
 #include "net/hub_links.hpp"
@@ -9,9 +10,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <csignal>
 #include <random>
@@ -39,11 +38,6 @@
 /// Time for a hub to answer a daemon that has just started.
 constexpr core::duration hub_answer_time = std::chrono::milliseconds(700);
 
-auto into(error_code& error)
-{
-    return asio::redirect_error(asio::use_awaitable, error);
-}
-
 std::uint64_t random_number()
 {
     std::random_device device;
@@ -107,12 +101,14 @@
         if (!options_.ready_address.empty())
         {
             BOOST_LEAF_CHECK(listen(ready, options_.ready_address));
-            spawn(serve_status(ready, [this](const status_request&) { return readiness(); }));
+            spawn(serve_status(ready, gateway_.log,
+                               [this](const status_request&) { return readiness(); }));
         }
         if (!options_.admin_address.empty())
         {
             BOOST_LEAF_CHECK(listen(admin, options_.admin_address));
-            spawn(serve_status(admin, [this](const status_request& request)
+            spawn(serve_status(admin, gateway_.log,
+                               [this](const status_request& request)
                                { return answer_admin(request); }));
         }
         gateway_.log.write("daemon", "started",
@@ -262,22 +258,45 @@
         while (options_.reload)
         {
             timer.expires_after(settings_interval);
-            hangup.async_wait([&timer](error_code error, int) { error ? 0 : timer.cancel(); });
-            error_code ended;
-            co_await timer.async_wait(into(ended));
+            hangup.async_wait(
+                [&timer](const error_code& error, int)
+                {
+                    if (!error)
+                    {
+                        timer.cancel();
+                    }
+                });
+            error_code interrupted;
+            co_await timer.async_wait(into(interrupted));
             hangup.cancel();
-            if (const auto read = options_.reload())
-            {
-                settings_ = *read;
-                apply_settings();
-            }
-            if (ended)
+            const bool read = reload();
+            if (read && interrupted)
             {
                 gateway_.log.write("daemon", "reloaded", {{"seeds", settings_.seeds.size()}});
             }
         }
     }
 
+    // Returns whether the settings could be read.
+    bool reload()
+    {
+        const auto refuse = [this](const std::string& why)
+        {
+            gateway_.log.write("daemon", "settings_refused", {{"error", why}});
+            return false;
+        };
+        return boost::leaf::try_handle_all(
+            [&]() -> core::result<bool>
+            {
+                BOOST_LEAF_ASSIGN(settings_, options_.reload());
+                apply_settings();
+                return true;
+            },
+            [&](const core::document_error& error) { return refuse(core::to_string(error)); },
+            [&](const core::file_error& error) { return refuse(core::to_string(error)); },
+            [&] { return refuse("an error without a type"); });
+    }
+
     asio::awaitable<void> wait_for_stop()
     {
         asio::signal_set signals(io_, SIGTERM, SIGINT);
@@ -368,7 +387,7 @@
         out["replica"] = {{"revision", replica_.revision},
                           {"entries", replica_.entries.size()},
                           {"missing", replica_.missing.size()},
-                          {"age_ms", core::to_seconds(now - replica_.current_at) * 1e3}};
+                          {"age_ms", core::to_milliseconds(now - replica_.current_at)}};
         return out;
     }
 
--- a/src/net/daemon.hpp
+++ b/src/net/daemon.hpp
@@ -94,9 +94,9 @@
     http_profile profile;
     event_log_options log;
     changeable_settings settings;
-    /// Reads the settings again; nothing when they cannot be read. Called on SIGHUP and from time
-    /// to time.
-    std::function<std::optional<changeable_settings>()> reload;
+    /// Reads the settings again, on SIGHUP and from time to time. Errors: document_error and
+    /// file_error; the settings stay as they are then.
+    std::function<core::result<changeable_settings>()> reload;
 };
 
 /// Serves until SIGTERM or SIGINT has been carried out. Error: listen_error. Not thread safe.
--- /dev/null
+++ b/src/net/daemon_program.cpp
@@ -0,0 +1,48 @@
+#include "net/daemon_program.hpp"
+
+#include "net/daemon.hpp"
+
+#include <cstdio>
+
+namespace zinniaferry::net
+{
+
+int run_daemon_program(cxxopts::Options& options, int argc, char** argv,
+                       const std::function<core::result<int>(const cxxopts::ParseResult&)>& body)
+{
+    const auto report = [&](const std::string& text, int code)
+    {
+        std::fprintf(stderr, "%s: %s\n", options.program().c_str(), text.c_str());
+        return code;
+    };
+    options.add_options()("version", "print the version")("help", "print this help");
+    try
+    {
+        const cxxopts::ParseResult parsed = options.parse(argc, argv);
+        if (parsed.count("help") > 0)
+        {
+            std::printf("%s\n", options.help().c_str());
+            return 0;
+        }
+        if (parsed.count("version") > 0)
+        {
+            std::printf("%s %s\n", options.program().c_str(), ZINNIA_VERSION);
+            return 0;
+        }
+        return boost::leaf::try_handle_all(
+            [&] { return body(parsed); },
+            [&](const usage_error& error) { return report(error.what, exit_wrong_usage); },
+            [&](const core::document_error& error)
+            { return report(core::to_string(error), exit_wrong_usage); },
+            [&](const core::file_error& error)
+            { return report(core::to_string(error), exit_wrong_usage); },
+            [&](const listen_error& error) { return report(to_string(error), exit_failure); },
+            [&] { return report("internal error", exit_failure); });
+    }
+    catch (const cxxopts::exceptions::exception& error)
+    {
+        return report(error.what(), exit_wrong_usage);
+    }
+}
+
+} // namespace zinniaferry::net
--- a/src/net/deadline_timer.hpp
+++ b/src/net/deadline_timer.hpp
@@ -46,11 +46,4 @@
     std::shared_ptr<char> m_alive = std::make_shared<char>();
 };
 
-/// Returns the steady clock's time point for a time point of the decision logic. Thread safe.
-inline std::chrono::steady_clock::time_point to_steady(core::time_point at)
-{
-    return std::chrono::steady_clock::time_point(
-        std::chrono::duration_cast<std::chrono::steady_clock::duration>(at.time_since_epoch()));
-}
-
 } // namespace zinniaferry::net
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -34,7 +34,7 @@
     }
     if (result.load)
     {
-        routing::on_reading(gateway.backends, *server, *result.load, result.warmup_left);
+        routing::on_reading(*server, *result.load, result.warmup_left);
     }
     gateway.pool.put_back(*server, connection);
 }
@@ -136,7 +136,7 @@
                           {{"server", server.id},
                            {"service", server.service},
                            {"draining", server.draining},
-                           {"warmup_ms", core::to_seconds(server.warmup_left) * 1e3}});
+                           {"warmup_ms", core::to_milliseconds(server.warmup_left)}});
     }
 }
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,10 +1,8 @@
 #include "net/http_client.hpp"
 
+#include "net/await_error.hpp"
 #include "net/backend_pool.hpp"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 namespace zinniaferry::net
 {
 
@@ -13,11 +11,6 @@
 
 using boost::system::error_code;
 
-auto into(error_code& error)
-{
-    return asio::redirect_error(asio::use_awaitable, error);
-}
-
 } // namespace
 
 http_client::http_client(asio::io_context& io, std::string address, std::uint64_t body_limit)
--- a/src/net/hub_links.cpp
+++ b/src/net/hub_links.cpp
@@ -1,12 +1,11 @@
 #include "net/hub_links.hpp"
 
+#include "net/accept_loop.hpp"
 #include "net/backend_pool.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/endian/conversion.hpp>
 
@@ -35,11 +34,6 @@
 /// While not all members had time to be heard, the fleet is taken to have at least so many.
 constexpr std::size_t assumed_members = 20;
 
-auto into(error_code& error)
-{
-    return asio::redirect_error(asio::use_awaitable, error);
-}
-
 std::size_t hash_of(const std::vector<fleet::member>& members)
 {
     std::size_t out = members.size();
@@ -136,8 +130,15 @@
     error_code error;
     co_await asio::async_read(from.socket, asio::buffer(length), into(error));
     const std::uint32_t size = boost::endian::load_big_u32(length.data());
-    if (error || size > fleet::max_hub_message_bytes)
+    if (error)
+    {
+        co_return std::nullopt;
+    }
+    if (size > fleet::max_hub_message_bytes)
     {
+        const core::peer_message_error refused = {core::peer_message_error::reason::too_large,
+                                                  size};
+        log_.write("peers", "refused", {{"why", core::to_string(refused)}});
         co_return std::nullopt;
     }
     std::string body(size, '\0');
@@ -165,20 +166,13 @@
 
 asio::awaitable<void> hub_links::serve(asio::ip::tcp::acceptor& acceptor)
 {
-    while (acceptor.is_open())
-    {
-        error_code error;
-        asio::ip::tcp::socket socket = co_await acceptor.async_accept(into(error));
-        if (error)
-        {
-            asio::steady_timer pause(io_, check_interval);
-            co_await pause.async_wait(into(error));
-            continue;
-        }
-        set_connection_options(socket);
-        asio::co_spawn(io_, serve_subscriber(std::make_shared<link>(std::move(socket))),
-                       asio::detached);
-    }
+    return accept_connections(
+        acceptor,
+        [this](asio::ip::tcp::socket socket)
+        { return serve_subscriber(std::make_shared<link>(std::move(socket))); },
+        [this](const error_code& error) {
+            log_.write("peers", "accept_failed", {{"error", error.message()}});
+        });
 }
 
 asio::awaitable<void> hub_links::serve_subscriber(link_pointer subscriber)
--- a/src/net/request_flow.cpp
+++ b/src/net/request_flow.cpp
@@ -1,12 +1,11 @@
 #include "net/request_flow.hpp"
 
+#include "net/await_error.hpp"
 #include "request/second_send.hpp"
 #include "routing/candidates.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 
@@ -33,11 +32,6 @@
     return core::from_seconds(core::to_seconds(whole) * part);
 }
 
-double to_ms(core::duration time)
-{
-    return core::to_seconds(time) * 1e3;
-}
-
 routing::failure_kind failure_of(exchange_end end)
 {
     switch (end)
@@ -128,7 +122,9 @@
     {
         co_return request::refusal{refusal_reason::over_limit, granted.retry_after};
     }
-    service_ = choose_service();
+    // Each part of a split gets its weight also while it is short of room: a request stays with
+    // its part and is refused there rather than moved.
+    service_ = config::service_of(*route_, core::uniform(gateway_.random));
     progress_ = {.idempotent = route_->idempotent, .max_runs = route_->attempts};
     limits::on_first_attempt(gateway_.repeats, service_);
     co_return std::nullopt;
@@ -158,31 +154,6 @@
     return std::nullopt;
 }
 
-// Each part of a split gets its weight also while it is short of room: a request stays with its
-// part and is refused there rather than moved.
-std::string request_flow::choose_service()
-{
-    if (route_->split.empty())
-    {
-        return route_->service;
-    }
-    double total = 0.0;
-    for (const config::split_part& part : route_->split)
-    {
-        total += part.weight;
-    }
-    double at = core::uniform(gateway_.random) * total;
-    for (const config::split_part& part : route_->split)
-    {
-        at -= part.weight;
-        if (at < 0.0)
-        {
-            return part.service;
-        }
-    }
-    return route_->split.back().service;
-}
-
 asio::awaitable<http_response> request_flow::serve()
 {
     const core::time_point hold_until = arrived_ + part_of(route_->objective, hold_part);
@@ -355,7 +326,7 @@
         servers_full_ = true;
         return std::nullopt;
     case exchange_end::wrong_server:
-        routing::on_failed(gateway_.backends, server, routing::failure_kind::wrong_server, now);
+        routing::on_failed(server, routing::failure_kind::wrong_server, now);
         request::apply(progress_, progress_event::server_refused);
         return std::nullopt;
     default:
@@ -368,8 +339,8 @@
 {
     boost::json::object line = {
         {"server", entry.at.server->listed.id},
-        {"sent_ms", to_ms(entry.started - arrived_)},
-        {"ms", to_ms(latency)},
+        {"sent_ms", core::to_milliseconds(entry.started - arrived_)},
+        {"ms", core::to_milliseconds(latency)},
         {"end", entry.ended ? to_string(entry.result.end) : "open"},
         {"status", entry.result.answer ? entry.result.answer->result_int() : 0},
         {"candidates", entry.candidates}};
@@ -379,7 +350,7 @@
         line["waiting"] = entry.reading->waiting;
         line["slots"] = entry.reading->slots;
         line["slowdown"] = entry.reading->slowdown;
-        line["reading_age_ms"] = to_ms(entry.started - entry.reading->at);
+        line["reading_age_ms"] = core::to_milliseconds(entry.started - entry.reading->at);
     }
     trail_.push_back(std::move(line));
 }
@@ -393,7 +364,7 @@
     if (const auto load = gateway_.profile.parse_load(
             header_value(entry.result.answer->base(), gateway_.profile.load), now))
     {
-        routing::on_reading(gateway_.backends, server, *load, core::duration::zero());
+        routing::on_reading(server, *load, core::duration::zero());
     }
     gateway_.pool.put_back(server, entry.at.connection);
     if (entry.result.answer->result_int() < 500)
@@ -403,7 +374,7 @@
         request::apply(progress_, progress_event::answer);
         return std::move(entry.result.answer);
     }
-    routing::on_failed(gateway_.backends, server, routing::failure_kind::error, now);
+    routing::on_failed(server, routing::failure_kind::error, now);
     request::apply(progress_, progress_event::attempt_lost);
     error_answer_ = std::move(entry.result.answer);
     loss_ = refusal_reason::unusable_answer;
@@ -412,7 +383,7 @@
 
 void request_flow::settle_loss(attempt& entry, core::time_point now)
 {
-    routing::on_failed(gateway_.backends, *entry.at.server, failure_of(entry.result.end), now);
+    routing::on_failed(*entry.at.server, failure_of(entry.result.end), now);
     request::apply(progress_, progress_event::attempt_lost);
     loss_ = reason_of(entry.result.end);
 }
@@ -444,7 +415,7 @@
     {
         wake_.expires_after(std::max(at - core::elapsed_now(), core::duration::zero()));
         boost::system::error_code ignored;
-        co_await wake_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await wake_.async_wait(into(ignored));
     }
     notified_ = false;
 }
@@ -510,7 +481,7 @@
                         {"version", configuration_ ? configuration_->config->version : 0},
                         {"account", account_},
                         {"service", service_},
-                        {"ms", to_ms(core::elapsed_now() - arrived_)},
+                        {"ms", core::to_milliseconds(core::elapsed_now() - arrived_)},
                         {"attempts", std::move(trail_)}});
 }
 
--- a/src/net/request_flow.hpp
+++ b/src/net/request_flow.hpp
@@ -45,7 +45,6 @@
 
     asio::awaitable<std::optional<request::refusal>> admit();
     std::optional<request::refusal> check_in_force();
-    std::string choose_service();
     asio::awaitable<http_response> serve();
     asio::awaitable<bool> send_to_next();
     void start_attempt(target_choice choice);
--- a/src/net/status_listener.cpp
+++ b/src/net/status_listener.cpp
@@ -1,12 +1,11 @@
 #include "net/status_listener.hpp"
 
+#include "net/accept_loop.hpp"
 #include "net/backend_pool.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace zinniaferry::net
 {
@@ -18,12 +17,6 @@
 
 /// A client that neither sends nor reads for so long is closed.
 constexpr core::duration client_timeout = std::chrono::seconds(30);
-constexpr core::duration accept_pause = std::chrono::milliseconds(50);
-
-auto into(error_code& error)
-{
-    return asio::redirect_error(asio::use_awaitable, error);
-}
 
 asio::awaitable<void> serve_client(asio::ip::tcp::socket socket, status_handler handler)
 {
@@ -61,24 +54,16 @@
 
 } // namespace
 
-asio::awaitable<void> serve_status(asio::ip::tcp::acceptor& acceptor, status_handler handler)
+asio::awaitable<void> serve_status(asio::ip::tcp::acceptor& acceptor, event_log& log,
+                                   status_handler handler)
 {
-    while (acceptor.is_open())
-    {
-        error_code error;
-        asio::ip::tcp::socket socket = co_await acceptor.async_accept(into(error));
-        if (!error)
-        {
-            set_connection_options(socket);
-            asio::co_spawn(acceptor.get_executor(), serve_client(std::move(socket), handler),
-                           asio::detached);
-        }
-        else if (error != asio::error::operation_aborted)
-        {
-            asio::steady_timer pause(acceptor.get_executor(), accept_pause);
-            co_await pause.async_wait(into(error));
-        }
-    }
+    return accept_connections(
+        acceptor,
+        [handler = std::move(handler)](asio::ip::tcp::socket socket)
+        { return serve_client(std::move(socket), handler); },
+        [&log](const error_code& error) {
+            log.write("status", "accept_failed", {{"error", error.message()}});
+        });
 }
 
 } // namespace zinniaferry::net
--- a/src/net/status_listener.hpp
+++ b/src/net/status_listener.hpp
@@ -1,6 +1,8 @@
 /// A listener for questions about the daemon itself: readiness, metrics and the state dump.
 #pragma once
 
+#include "net/event_log.hpp"
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
@@ -27,9 +29,9 @@
 
 using status_handler = std::function<status_answer(const status_request&)>;
 
-/// Answers GET requests by `handler` until the acceptor is closed. Precondition: the acceptor
-/// outlives the operation. Thread safety: the acceptor's executor only.
-boost::asio::awaitable<void> serve_status(boost::asio::ip::tcp::acceptor& acceptor,
+/// Answers GET requests by `handler` until the acceptor is closed. Precondition: the acceptor and
+/// the log outlive the operation. Thread safety: the acceptor's executor only.
+boost::asio::awaitable<void> serve_status(boost::asio::ip::tcp::acceptor& acceptor, event_log& log,
                                           status_handler handler);
 
 } // namespace zinniaferry::net
--- a/src/net/target_choice.cpp
+++ b/src/net/target_choice.cpp
@@ -1,12 +1,11 @@
 #include "net/target_choice.hpp"
 
+#include "net/await_error.hpp"
 #include "routing/candidates.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 
@@ -47,7 +46,7 @@
                    routing::failure_kind kind)
 {
     routing::on_sent(*server);
-    routing::on_failed(gateway.backends, *server, kind, core::elapsed_now());
+    routing::on_failed(*server, kind, core::elapsed_now());
     gateway.log.write("servers", "unusable",
                       {{"server", server->listed.id},
                        {"service", server->listed.service},
@@ -88,7 +87,7 @@
     }
     if (!result.answered)
     {
-        routing::on_silence(gateway.backends, *server, core::elapsed_now());
+        routing::on_silence(*server, core::elapsed_now());
         co_return nullptr;
     }
     if (!result.right_server)
@@ -98,7 +97,7 @@
     }
     const routing::load_reading reading = result.load.value_or(
         routing::load_reading{.slots = server->listed.slots, .at = core::elapsed_now()});
-    routing::on_reading(gateway.backends, *server, reading, result.warmup_left);
+    routing::on_reading(*server, reading, result.warmup_left);
     co_return connection->reusable ? connection : nullptr;
 }
 
@@ -150,7 +149,7 @@
         }
         all.done.expires_after(left);
         boost::system::error_code ignored;
-        co_await all.done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await all.done.async_wait(into(ignored));
     }
 }
 
@@ -183,7 +182,6 @@
               });
     for (target& entry : all.answered)
     {
-        out.full += routing::is_full(*entry.server, now) ? 1 : 0;
         if (!out.chosen && routing::may_send(gateway.backends, *entry.server, now))
         {
             out.chosen = std::move(entry);
--- a/src/net/target_choice.hpp
+++ b/src/net/target_choice.hpp
@@ -30,7 +30,6 @@
 {
     std::optional<target> chosen;
     std::size_t candidates = 0; ///< Servers that were asked.
-    std::size_t full = 0;       ///< Of these, those without room.
 };
 
 /// Returns the best candidate that answers, or none. Thread safety: the io_context's thread only.
--- a/src/request/progress.cpp
+++ b/src/request/progress.cpp
@@ -2,9 +2,7 @@
 
 #include "chart/chart.hpp"
 
-#include <algorithm>
 #include <array>
-#include <vector>
 
 namespace zinniaferry::request
 {
@@ -21,29 +19,10 @@
 constexpr std::array event_names = {"bytes_left", "server_refused", "attempt_lost", "answer",
                                     "give_up"};
 
-struct chart_indices
+const chart::chart_binding& progress_chart()
 {
-    const chart::state_chart* chart = nullptr;
-    std::vector<chart::index> state;
-    std::vector<chart::index> event;
-};
-
-const chart_indices& indices()
-{
-    static const chart_indices known = []
-    {
-        chart_indices out;
-        out.chart = &chart::get_chart("request_progress");
-        for (const char* name : state_names)
-        {
-            out.state.push_back(chart::state_index(*out.chart, name));
-        }
-        for (const char* name : event_names)
-        {
-            out.event.push_back(chart::event_index(*out.chart, name));
-        }
-        return out;
-    }();
+    static const chart::chart_binding known =
+        chart::bind_chart("request_progress", state_names, event_names);
     return known;
 }
 
@@ -56,16 +35,13 @@
 
 bool apply(progress& progress, progress_event event)
 {
-    const chart_indices& known = indices();
-    const chart::step_result next =
-        chart::step(*known.chart, known.state.at(static_cast<std::size_t>(progress.state)),
-                    known.event.at(static_cast<std::size_t>(event)));
-    if (!next.accepted)
+    const auto next = chart::step(progress_chart(), static_cast<std::size_t>(progress.state),
+                                  static_cast<std::size_t>(event));
+    if (!next)
     {
         return false;
     }
-    const auto found = std::find(known.state.begin(), known.state.end(), next.state);
-    progress.state = static_cast<progress_state>(found - known.state.begin());
+    progress.state = static_cast<progress_state>(*next);
     progress.runs += event == progress_event::bytes_left ? 1 : 0;
     if (event == progress_event::server_refused)
     {
--- a/src/routing/backends.cpp
+++ b/src/routing/backends.cpp
@@ -36,41 +36,20 @@
     trial_passed
 };
 
-struct chart_indices
-{
-    const chart::state_chart* chart = nullptr;
-    std::vector<chart::index> state;
-    std::vector<chart::index> event;
-};
-
-const chart_indices& indices()
-{
-    static const chart_indices known = []
-    {
-        chart_indices out;
-        out.chart = &chart::get_chart("backend");
-        for (const char* name : {"serving", "cold", "suspect", "draining", "gone"})
-        {
-            out.state.push_back(chart::state_index(*out.chart, name));
-        }
-        for (const char* name : {"listed_serving", "listed_cold", "listed_draining", "removed",
-                                 "warmed", "turned_cold", "failing", "trial_passed"})
-        {
-            out.event.push_back(chart::event_index(*out.chart, name));
-        }
-        return out;
-    }();
-    return known;
-}
+constexpr std::array state_names = {"serving", "cold", "suspect", "draining", "gone"};
+constexpr std::array event_names = {"listed_serving", "listed_cold", "listed_draining",
+                                    "removed",        "warmed",      "turned_cold",
+                                    "failing",        "trial_passed"};
 
 void apply(backend& server, backend_event event)
 {
-    const chart_indices& known = indices();
-    const chart::step_result next =
-        chart::step(*known.chart, known.state.at(static_cast<std::size_t>(server.state)),
-                    known.event.at(static_cast<std::size_t>(event)));
-    const auto found = std::find(known.state.begin(), known.state.end(), next.state);
-    server.state = static_cast<backend_state>(found - known.state.begin());
+    static const chart::chart_binding known =
+        chart::bind_chart("backend", state_names, event_names);
+    if (const auto next = chart::step(known, static_cast<std::size_t>(server.state),
+                                      static_cast<std::size_t>(event)))
+    {
+        server.state = static_cast<backend_state>(*next);
+    }
 }
 
 double decay(core::duration age)
@@ -134,8 +113,7 @@
 
 const char* to_string(backend_state value)
 {
-    constexpr std::array names = {"serving", "cold", "suspect", "draining", "gone"};
-    return names.at(static_cast<std::size_t>(value));
+    return state_names.at(static_cast<std::size_t>(value));
 }
 
 const char* to_string(failure_kind value)
@@ -225,7 +203,7 @@
     }
 }
 
-void on_silence(backend_set& set, backend& server, core::time_point now)
+void on_silence(backend& server, core::time_point now)
 {
     server.asked_at.reset();
     server.busy_until = now + busy_time;
@@ -234,7 +212,7 @@
     {
         server.silences = 0;
         on_sent(server);
-        on_failed(set, server, failure_kind::unreachable, now);
+        on_failed(server, failure_kind::unreachable, now);
     }
 }
 
@@ -252,21 +230,15 @@
     server.in_flight -= server.in_flight > 0 ? 1 : 0;
 }
 
-void on_reading(backend_set& set, backend& server, const load_reading& reading,
-                core::duration warmup_left)
+void on_reading(backend& server, const load_reading& reading, core::duration warmup_left)
 {
     server.reading = reading;
     server.asked_at.reset();
     server.silences = 0;
-    if (warmup_left > core::duration::zero())
+    if (warmup_left > core::duration::zero() && server.state != backend_state::cold)
     {
-        const bool was_cold = server.state == backend_state::cold;
-        if (!was_cold)
-        {
-            turn_cold(server, warmup_left, reading.at, backend_event::turned_cold);
-        }
+        turn_cold(server, warmup_left, reading.at, backend_event::turned_cold);
     }
-    static_cast<void>(set);
 }
 
 void note_latency(route_pace& pace, core::duration latency)
@@ -302,9 +274,8 @@
     server.slowness_at = now;
 }
 
-void on_failed(backend_set& set, backend& server, failure_kind kind, core::time_point now)
+void on_failed(backend& server, failure_kind kind, core::time_point now)
 {
-    static_cast<void>(set);
     on_released(server);
     server.asked_at.reset();
     note_result(server, true, now);
--- a/src/routing/backends.hpp
+++ b/src/routing/backends.hpp
@@ -144,15 +144,14 @@
 /// A question for the load begins; it ends by on_reading, on_silence or on_failed.
 void on_asked(backend& server, core::time_point now);
 /// The question was broken off or not answered, although the server accepts connections.
-void on_silence(backend_set& set, backend& server, core::time_point now);
+void on_silence(backend& server, core::time_point now);
 
 void on_sent(backend& server);
-void on_reading(backend_set& set, backend& server, const load_reading& reading,
-                core::duration warmup_left);
+void on_reading(backend& server, const load_reading& reading, core::duration warmup_left);
 /// `usual` is the latency that the request's route has usually; zero when it is not known.
 void on_answered(backend_set& set, backend& server, core::duration latency, core::duration usual,
                  core::time_point now);
-void on_failed(backend_set& set, backend& server, failure_kind kind, core::time_point now);
+void on_failed(backend& server, failure_kind kind, core::time_point now);
 /// The request left the server for a reason that says nothing about it.
 void on_released(backend& server);
 /// A probe of a suspect server was answered well.
--- a/test/correctness/config/config_test.cpp
+++ b/test/correctness/config/config_test.cpp
@@ -185,6 +185,19 @@
         expected);
 }
 
+// Guards against parts of a split that get another share than their weight.
+TEST(config, a_split_divides_requests_by_weight)
+{
+    EXPECT_EQ(service_of({.service = "a"}, 0.99), "a");
+    const route split{.split = {{"a", 3.0}, {"b", 1.0}}};
+    int first = 0;
+    for (int i = 0; i < 1000; ++i)
+    {
+        first += service_of(split, i / 1000.0) == "a" ? 1 : 0;
+    }
+    EXPECT_EQ(first, 750);
+}
+
 // Guards against a published document that gives a key away.
 TEST(config, the_builder_prints_digests_only)
 {
--- a/test/correctness/net/deadline_timer_test.cpp
+++ b/test/correctness/net/deadline_timer_test.cpp
@@ -10,6 +10,13 @@
 namespace
 {
 
+/// Returns the steady clock's time point for a time point of the decision logic.
+std::chrono::steady_clock::time_point to_steady(core::time_point at)
+{
+    return std::chrono::steady_clock::time_point(
+        std::chrono::duration_cast<std::chrono::steady_clock::duration>(at.time_since_epoch()));
+}
+
 namespace asio = boost::asio;
 using asio::ip::tcp;
 using boost::system::error_code;
--- a/test/correctness/routing/backends_test.cpp
+++ b/test/correctness/routing/backends_test.cpp
@@ -76,7 +76,7 @@
 {
     apply_listing(set, listing("a"), start);
     on_sent(at("a"));
-    on_failed(set, at("a"), failure_kind::unreachable, start);
+    on_failed(at("a"), failure_kind::unreachable, start);
     EXPECT_EQ(at("a").state, backend_state::suspect);
     const backend_pointer former = set.by_id.at("a");
     listed_backend reborn = listing("a");
@@ -155,9 +155,9 @@
     {
         apply_listing(set, listing(id), start);
     }
-    on_failed(set, at("a"), failure_kind::unreachable, start);
+    on_failed(at("a"), failure_kind::unreachable, start);
     EXPECT_EQ(names(start), (strings{"b", "c"}));
-    on_failed(set, at("b"), failure_kind::unreachable, start);
+    on_failed(at("b"), failure_kind::unreachable, start);
     EXPECT_EQ(names(start), (strings{"a", "b", "c"}));
 }
 
@@ -167,12 +167,12 @@
     apply_listing(set, listing("a"), start);
     apply_listing(set, listing("b"), start);
     apply_listing(set, listing("c"), start);
-    on_failed(set, at("a"), failure_kind::unreachable, start);
+    on_failed(at("a"), failure_kind::unreachable, start);
     EXPECT_TRUE(due_probes(set, start + 400ms).empty());
     EXPECT_EQ(due_probes(set, start + 500ms).size(), 1U);
     on_trial_passed(at("a"));
     EXPECT_EQ(at("a").state, backend_state::serving);
-    on_failed(set, at("a"), failure_kind::unreachable, start + 1s);
+    on_failed(at("a"), failure_kind::unreachable, start + 1s);
     EXPECT_TRUE(due_probes(set, start + 1900ms).empty());
     EXPECT_EQ(due_probes(set, start + 2s).size(), 1U);
 }
@@ -186,16 +186,16 @@
     on_asked(at("a"), start);
     EXPECT_EQ(names(start + 10ms), (strings{"a", "b"}));
     EXPECT_EQ(names(start + 50ms), (strings{"b"}));
-    on_reading(set, at("a"), {.running = 2, .slots = 2, .at = start + 200ms}, {});
+    on_reading(at("a"), {.running = 2, .slots = 2, .at = start + 200ms}, {});
     EXPECT_EQ(names(start + 200ms), (strings{"a", "b"}));
     for (int i = 0; i < 3; ++i)
     {
-        on_silence(set, at("a"), start + 1s);
+        on_silence(at("a"), start + 1s);
         EXPECT_EQ(at("a").state, backend_state::serving);
     }
     EXPECT_EQ(names(start + 1s), (strings{"b"}));
     EXPECT_EQ(names(start + 1200ms), (strings{"a", "b"}));
-    on_silence(set, at("a"), start + 2s);
+    on_silence(at("a"), start + 2s);
     EXPECT_EQ(at("a").state, backend_state::suspect);
 }
 
@@ -204,12 +204,12 @@
 {
     apply_listing(set, listing("a"), start);
     apply_listing(set, listing("b"), start);
-    on_reading(set, at("a"), {.running = 2, .slots = 2, .slowdown = 1.0, .at = start}, {});
-    on_reading(set, at("b"), {.running = 0, .slots = 2, .slowdown = 1.0, .at = start}, {});
+    on_reading(at("a"), {.running = 2, .slots = 2, .slowdown = 1.0, .at = start}, {});
+    on_reading(at("b"), {.running = 0, .slots = 2, .slowdown = 1.0, .at = start}, {});
     EXPECT_TRUE(is_full(at("a"), start));
     EXPECT_GT(expected_cost(set, at("a"), start), 1.5 * expected_cost(set, at("b"), start));
     EXPECT_FALSE(is_full(at("a"), start + 1s));
-    on_reading(set, at("b"), {.running = 0, .slots = 2, .slowdown = 5.0, .at = start + 1s}, {});
+    on_reading(at("b"), {.running = 0, .slots = 2, .slowdown = 5.0, .at = start + 1s}, {});
     EXPECT_LT(expected_cost(set, at("a"), start + 1s), expected_cost(set, at("b"), start + 1s));
 }
 
@@ -217,7 +217,7 @@
 TEST_F(backends_test, a_health_answer_that_states_a_warmup_makes_a_server_cold)
 {
     apply_listing(set, listing("a"), start);
-    on_reading(set, at("a"), {.slots = 2, .at = start}, 2s);
+    on_reading(at("a"), {.slots = 2, .at = start}, 2s);
     EXPECT_EQ(at("a").state, backend_state::cold);
 }
 
