Tell probes by purpose and what decided on a rate, in metrics and logs

Adds zinnia_probes_total{purpose}, zinnia_selections_total, zinnia_grant_timeouts_total, the log field rate_decided_by and a line 'daemon counters' every 5 s.

--- a/src/limits/account_pools.cpp
+++ b/src/limits/account_pools.cpp
@@ -1,6 +1,7 @@
 #include "limits/account_pools.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace zinniaferry::limits
@@ -126,6 +127,12 @@
 
 } // namespace
 
+const char* to_string(grant_source value)
+{
+    constexpr std::array names = {"hub", "standalone"};
+    return names.at(static_cast<std::size_t>(value));
+}
+
 void apply_configuration(account_pools& pools, const config::configuration& config,
                          core::time_point now)
 {
@@ -238,12 +245,15 @@
     {
         draw_reserve(pools, found->second, now);
     }
+    grant out = {.requests = 1, .source = grant_source::standalone};
     if (bucket.tokens < 1.0)
     {
-        return refused_grant(bucket);
+        out = refused_grant(bucket);
+        out.source = grant_source::standalone;
+        return out;
     }
     bucket.tokens -= 1.0;
-    return {.requests = 1};
+    return out;
 }
 
 boost::json::object dump(const account_pools& pools)
--- a/src/limits/account_pools.hpp
+++ b/src/limits/account_pools.hpp
@@ -66,11 +66,22 @@
     double burst = 0.0; ///< Requests.
 };
 
+/// Which state decided on a grant.
+enum class grant_source
+{
+    hub,       ///< The pool of the primary hub.
+    standalone ///< This daemon's standalone quota, because no hub answered in time.
+};
+
+/// Returns the source's name in logs. Thread safe.
+const char* to_string(grant_source value);
+
 /// Requests that a member may admit for an account; none is a refusal.
 struct grant
 {
     std::uint32_t requests = 0;
     core::duration retry_after{}; ///< If there are none: time until there may be one.
+    grant_source source = grant_source::hub;
 };
 
 /// Requests of an account that were granted to this daemon and not admitted yet.
--- a/src/net/backend_connection_pool.cpp
+++ b/src/net/backend_connection_pool.cpp
@@ -72,6 +72,12 @@
 
 } // namespace
 
+const char* to_string(probe_purpose value)
+{
+    constexpr std::array names = {"selection", "trial"};
+    return names.at(static_cast<std::size_t>(value));
+}
+
 const char* to_string(exchange_outcome value)
 {
     constexpr std::array names = {"answered", "not_run",   "wrong_server",
@@ -138,15 +144,13 @@
 }
 
 asio::awaitable<probe_result> backend_connection_pool::probe(backend_connection_pointer connection,
-                                                             std::string server_id,
-                                                             std::string path,
-                                                             core::duration timeout)
+                                                             probe_request wanted)
 {
-    ++counters.probes;
+    ++counters.probes.at(static_cast<std::size_t>(wanted.purpose));
     connection->reusable = false;
-    connection->timer.expires_after(timeout);
-    http_request request(http::verb::get, path, 11);
-    request.set(http::field::host, server_id);
+    connection->timer.expires_after(wanted.timeout);
+    http_request request(http::verb::get, wanted.path, 11);
+    request.set(http::field::host, wanted.server_id);
     error_code error;
     co_await http::async_write(connection->socket, request, redirect_error_to(error));
     http::response_parser<http::string_body> parser;
@@ -168,7 +172,7 @@
     out.answered = true;
     out.healthy = response.result_int() == 200;
     const std::string_view stated_id = header_value(response.base(), profile_.server_id_header);
-    out.is_expected_server = stated_id.empty() || stated_id == server_id;
+    out.is_expected_server = stated_id.empty() || stated_id == wanted.server_id;
     out.load = profile_.parse_load(header_value(response.base(), profile_.load_header),
                                    connection->last_response_at);
     out.warmup_left =
--- a/src/net/backend_connection_pool.hpp
+++ b/src/net/backend_connection_pool.hpp
@@ -10,6 +10,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <array>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -57,6 +59,26 @@
     std::optional<http_response> response;
 };
 
+/// Why a server is probed.
+enum class probe_purpose
+{
+    selection, ///< Reads the load of a candidate for a request.
+    trial      ///< Finds out whether a suspect server works again.
+};
+inline constexpr std::size_t probe_purpose_count = 2;
+
+/// Returns the purpose's name in metrics. Thread safe.
+const char* to_string(probe_purpose value);
+
+/// A request to a server's health path.
+struct probe_request
+{
+    std::string server_id; ///< Id that the server must state, if it states one.
+    std::string path;
+    core::duration timeout{}; ///< After this the connection is closed.
+    probe_purpose purpose = probe_purpose::selection;
+};
+
 /// Result of a request to a server's health path.
 struct probe_result
 {
@@ -76,7 +98,8 @@
 struct backend_connection_pool_counters
 {
     std::uint64_t connections = 0; ///< Opened since the start.
-    std::uint64_t probes = 0;      ///< Sent since the start.
+    /// Sent since the start, by probe_purpose.
+    std::array<std::uint64_t, probe_purpose_count> probes{};
 };
 
 /// Thread safety: the io_context's thread only.
@@ -94,11 +117,9 @@
     /// Opens a connection. Returns null if that fails or exceeds `connect_timeout`.
     asio::awaitable<backend_connection_pointer> connect(const routing::backend& server);
 
-    /// Sends GET `path` and evaluates the response. `server_id` is the id that the server must
-    /// state, if it states one.
+    /// Sends a probe and evaluates the response.
     asio::awaitable<probe_result> probe(backend_connection_pointer connection,
-                                        std::string server_id, std::string path,
-                                        core::duration timeout);
+                                        probe_request wanted);
 
     /// Sends a request and reads its response, at the latest until `deadline`. `request` must stay
     /// valid until the coroutine ends.
--- a/src/net/backend_selection.cpp
+++ b/src/net/backend_selection.cpp
@@ -73,12 +73,14 @@
     routing::on_load_probe_sent(*server, core::boot_clock_now());
     backend_connection_pointer connection =
         gateway.backend_connections.take_idle(*server, core::time_point());
-    const std::string path = health_path(gateway, server->listed.service);
+    const probe_request probe = {.server_id = server->listed.id,
+                                 .path = health_path(gateway, server->listed.service),
+                                 .timeout = probe_timeout,
+                                 .purpose = probe_purpose::selection};
     probe_result result;
     if (connection)
     {
-        result = co_await gateway.backend_connections.probe(connection, server->listed.id, path,
-                                                            probe_timeout);
+        result = co_await gateway.backend_connections.probe(connection, probe);
     }
     if (!result.answered && !(connection && connection->timer.expired()))
     {
@@ -88,8 +90,7 @@
             record_failure(gateway, server, routing::failure_kind::unreachable);
             co_return nullptr;
         }
-        result = co_await gateway.backend_connections.probe(connection, server->listed.id, path,
-                                                            probe_timeout);
+        result = co_await gateway.backend_connections.probe(connection, probe);
     }
     if (!result.answered)
     {
@@ -217,6 +218,7 @@
 asio::awaitable<backend_selection> select_backend(gateway& gateway,
                                                   const selection_criteria& criteria)
 {
+    ++gateway.counters.selections;
     const auto probes = std::make_shared<selection_probes>(gateway.io);
     std::vector<routing::backend_pointer> excluded(criteria.excluded.begin(),
                                                    criteria.excluded.end());
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -26,6 +26,8 @@
 using boost::system::error_code;
 
 constexpr core::duration maintenance_interval = std::chrono::milliseconds(500);
+/// Interval of the log lines with the counters, for incidents without a metrics server.
+constexpr core::duration counters_log_interval = std::chrono::seconds(5);
 /// Settings are also reloaded at this interval, as they may change without a SIGHUP.
 constexpr core::duration settings_reload_interval = std::chrono::seconds(5);
 /// Time for the platform's balancer to notice that readiness is off: it probes readiness once a
@@ -253,15 +255,35 @@
 
     asio::awaitable<void> run_maintenance()
     {
+        core::time_point log_counters_at = core::boot_clock_now() + counters_log_interval;
         while (true)
         {
             co_await pause(maintenance_interval);
             const core::time_point now = core::boot_clock_now();
             apply_changes(fleet::expire_missing(replica_, now));
             maintain(gateway_, now);
+            if (now >= log_counters_at)
+            {
+                log_counters_at = now + counters_log_interval;
+                log_counters();
+            }
         }
     }
 
+    void log_counters()
+    {
+        const gateway_counters& requests = gateway_.counters;
+        const auto& probes = gateway_.backend_connections.counters.probes;
+        gateway_.log.write(
+            "daemon", "counters",
+            {{"requests", requests.requests},
+             {"repeats", requests.repeats},
+             {"selections", requests.selections},
+             {"selection_probes", probes.at(static_cast<std::size_t>(probe_purpose::selection))},
+             {"trial_probes", probes.at(static_cast<std::size_t>(probe_purpose::trial))},
+             {"grant_timeouts", links_.counters().grant_timeouts}});
+    }
+
     asio::awaitable<void> reload_settings_regularly()
     {
         asio::signal_set hangup(io_, SIGHUP);
@@ -391,7 +413,8 @@
                                         .platform_calls = adapter_.call_count(),
                                         .replica_revision = replica_.revision,
                                         .peer_bytes_in = links_.counters().bytes_in,
-                                        .peer_bytes_out = links_.counters().bytes_out});
+                                        .peer_bytes_out = links_.counters().bytes_out,
+                                        .grant_timeouts = links_.counters().grant_timeouts});
     }
 
     boost::json::object dump() const
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -20,9 +20,12 @@
     {
         co_return;
     }
-    const probe_result result = co_await gateway.backend_connections.probe(
-        connection, server->listed.id, health_path(gateway, server->listed.service),
-        suspect_probe_timeout);
+    // A named object: GCC 12 destroys aggregate temporaries of a co_await expression twice.
+    const probe_request probe = {.server_id = server->listed.id,
+                                 .path = health_path(gateway, server->listed.service),
+                                 .timeout = suspect_probe_timeout,
+                                 .purpose = probe_purpose::trial};
+    const probe_result result = co_await gateway.backend_connections.probe(connection, probe);
     if (!result.answered || !result.is_expected_server || !result.healthy)
     {
         co_return;
@@ -214,7 +217,8 @@
         limits::add_granted(pools, account, granted->requests - 1, now);
     }
     co_return limits::grant{.requests = std::min(granted->requests, 1U),
-                            .retry_after = granted->retry_after};
+                            .retry_after = granted->retry_after,
+                            .source = granted->source};
 }
 
 void maintain(gateway& gateway, core::time_point now)
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -36,6 +36,7 @@
     std::uint64_t answered = 0;    ///< Answered with a backend server's response.
     std::uint64_t caller_gone = 0; ///< Cancelled because the caller disconnected.
     std::uint64_t repeats = 0;     ///< Retries and hedges: attempts after a request's first.
+    std::uint64_t selections = 0;  ///< Selections of a backend server; each sends probes.
     /// By refusal_reason. Includes requests that could not be parsed, which `requests` does not.
     std::array<std::uint64_t, request::refusal_reason_count> refused{};
 };
--- a/src/net/gateway_metrics.cpp
+++ b/src/net/gateway_metrics.cpp
@@ -28,6 +28,17 @@
     }
 }
 
+void print_probes(std::string& out, const backend_connection_pool_counters& counters)
+{
+    out += "# HELP zinnia_probes_total Probes of backend servers, by purpose.\n"
+           "# TYPE zinnia_probes_total counter\n";
+    for (std::size_t i = 0; i < counters.probes.size(); ++i)
+    {
+        fmt::format_to(std::back_inserter(out), "zinnia_probes_total{{purpose=\"{}\"}} {}\n",
+                       to_string(static_cast<probe_purpose>(i)), counters.probes.at(i));
+    }
+}
+
 } // namespace
 
 std::string print_metrics(const gateway& gateway, const daemon_metrics& daemon)
@@ -47,14 +58,17 @@
           number(counters.repeats));
     print(out, "counter", "zinnia_backend_connections_total", "Connections to backend servers.",
           number(gateway.backend_connections.counters.connections));
-    print(out, "counter", "zinnia_probes_total", "Probes of backend servers.",
-          number(gateway.backend_connections.counters.probes));
+    print(out, "counter", "zinnia_selections_total", "Selections of a backend server.",
+          number(counters.selections));
+    print_probes(out, gateway.backend_connections.counters);
     print(out, "counter", "zinnia_platform_calls_total", "Calls to the platform's store.",
           number(daemon.platform_calls));
     print(out, "counter", "zinnia_peer_bytes_received_total", "From other daemons.",
           number(daemon.peer_bytes_in));
     print(out, "counter", "zinnia_peer_bytes_sent_total", "To other daemons.",
           number(daemon.peer_bytes_out));
+    print(out, "counter", "zinnia_grant_timeouts_total", "Grants that the hub sent late or never.",
+          number(daemon.grant_timeouts));
     print(out, "counter", "zinnia_log_lines_left_out_total", "Log lines beyond the bound.",
           number(gateway.log.suppressed_lines()));
     print(out, "gauge", "zinnia_requests_in_progress", "Requests without an answer yet.",
--- a/src/net/hub_links.cpp
+++ b/src/net/hub_links.cpp
@@ -417,6 +417,7 @@
     error_code ignored;
     co_await waiting.answered.async_wait(redirect_error_to(ignored));
     pending_requests_.erase(number);
+    counters_.grant_timeouts += waiting.grant ? 0 : 1;
     co_return waiting.grant;
 }
 
--- a/src/net/hub_links.hpp
+++ b/src/net/hub_links.hpp
@@ -50,6 +50,7 @@
 {
     std::uint64_t bytes_in = 0;
     std::uint64_t bytes_out = 0;
+    std::uint64_t grant_timeouts = 0; ///< Grants that the primary hub did not send in time.
 };
 
 /// Thread safety: the io_context's thread only. Precondition: all references outlive the hub_links.
--- a/src/net/request_handler.cpp
+++ b/src/net/request_handler.cpp
@@ -124,6 +124,7 @@
                  core::duration());
     deadline_ = arrived_ + std::min(time_left, route_->timeout);
     const limits::grant granted = co_await net::acquire_grant(gateway_, account_);
+    grant_source_ = granted.source;
     if (granted.requests == 0)
     {
         co_return request::refusal{refusal_reason::over_limit, granted.retry_after};
@@ -509,6 +510,7 @@
                         {"status", status},
                         {"version", configuration_ ? configuration_->config->version : 0},
                         {"account", account_},
+                        {"rate_decided_by", limits::to_string(grant_source_)},
                         {"service", service_},
                         {"ms", core::to_milliseconds(core::boot_clock_now() - arrived_)},
                         {"attempts", std::move(attempt_log_)}});
--- a/src/net/request_handler.hpp
+++ b/src/net/request_handler.hpp
@@ -75,6 +75,8 @@
     const config::route* route_ = nullptr;
     std::shared_ptr<routing::route_latency> route_latency_;
     std::string account_;
+    /// What decided on the account's rate; only valid for an account with a rate limit.
+    limits::grant_source grant_source_ = limits::grant_source::hub;
     std::string service_;
     core::time_point arrived_;
     core::time_point deadline_; ///< The response must have left the daemon by then.
