Bound the load probes of the whole fleet by the operators' probe rate

Cause: each request sent two to four probes, and nothing related their number to the rate that the operators state for the whole fleet; the setting was not even read.

Change: limits/probe_budget. A daemon has the share of the budget that it has of the fleet's selections, which members report to their hubs. With fewer probes left, servers are probed one at a time, then one only, then none.

--- a/src/fleet/hub.capnp
+++ b/src/fleet/hub.capnp
@@ -28,8 +28,10 @@
 }
 
 struct Report {
-    # Subscriber to hub, periodically: whether this hub grants the subscriber's account requests.
+    # Subscriber to hub, periodically: whether this hub grants the subscriber's account requests, and how many backend
+    # servers the subscriber selects in a second.
     primary @0 :Bool;
+    selectionRate @1 :Float32;
 }
 
 struct Ask {
@@ -58,6 +60,7 @@
     membersKnown @0 :UInt32;
     members @1 :List(Member);
     settled @2 :Bool;
+    selectionRate @3 :Float32;  # Sum over the hub and its subscribers.
 }
 
 struct HubMessage {
--- a/src/fleet/hub.capnp.h
+++ b/src/fleet/hub.capnp.h
@@ -146,7 +146,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fb93a88c43c42846, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(fb93a88c43c42846, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -490,6 +490,8 @@
 
   inline bool getPrimary() const;
 
+  inline float getSelectionRate() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -521,6 +523,9 @@
   inline bool getPrimary();
   inline void setPrimary(bool value);
 
+  inline float getSelectionRate();
+  inline void setSelectionRate(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -839,6 +844,8 @@
 
   inline bool getSettled() const;
 
+  inline float getSelectionRate() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -880,6 +887,9 @@
   inline bool getSettled();
   inline void setSettled(bool value);
 
+  inline float getSelectionRate();
+  inline void setSelectionRate(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1327,6 +1337,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline float Report::Reader::getSelectionRate() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float Report::Builder::getSelectionRate() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setSelectionRate(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Ask::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1555,6 +1579,20 @@
       ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
+inline float Fleet::Reader::getSelectionRate() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline float Fleet::Builder::getSelectionRate() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Fleet::Builder::setSelectionRate(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::zinniaferry::fleet::wire::HubMessage::Which HubMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/fleet/hub_messages.cpp
+++ b/src/fleet/hub_messages.cpp
@@ -8,6 +8,7 @@
 #include <kj/io.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace zinniaferry::fleet
 {
@@ -35,7 +36,12 @@
         hello.setIncarnation(value.incarnation);
         hello.setRevision(value.revision);
     }
-    void operator()(const report_message& value) { out.initReport().setPrimary(value.primary); }
+    void operator()(const report_message& value)
+    {
+        auto report = out.initReport();
+        report.setPrimary(value.primary);
+        report.setSelectionRate(value.selection_rate);
+    }
     void operator()(const update_message& value)
     {
         auto update = out.initUpdate();
@@ -76,6 +82,7 @@
         auto fleet = out.initFleet();
         fleet.setMembersKnown(value.members_known);
         fleet.setSettled(value.settled);
+        fleet.setSelectionRate(value.selection_rate);
         auto members = fleet.initMembers(static_cast<unsigned>(value.members.size()));
         for (unsigned i = 0; i < members.size(); ++i)
         {
@@ -85,6 +92,12 @@
     }
 };
 
+// A rate that is not a number would spoil every sum that it is part of.
+float read_rate(float rate)
+{
+    return std::isfinite(rate) ? std::max(0.0F, rate) : 0.0F;
+}
+
 update_message read_update(wire::Update::Reader update)
 {
     // One day, as a greater age carries no more information. The conversion to nanoseconds would
@@ -112,6 +125,7 @@
     fleet_message out;
     out.members_known = fleet.getMembersKnown();
     out.settled = fleet.getSettled();
+    out.selection_rate = read_rate(fleet.getSelectionRate());
     for (const auto& entry : fleet.getMembers())
     {
         out.members.push_back({text(entry.getVm()), text(entry.getAddress())});
@@ -141,7 +155,8 @@
                              .revision = hello.getRevision()};
     }
     case wire::HubMessage::REPORT:
-        return report_message{message.getReport().getPrimary()};
+        return report_message{.primary = message.getReport().getPrimary(),
+                              .selection_rate = read_rate(message.getReport().getSelectionRate())};
     case wire::HubMessage::UPDATE:
         return read_update(message.getUpdate());
     case wire::HubMessage::FLEET:
--- a/src/fleet/hub_messages.hpp
+++ b/src/fleet/hub_messages.hpp
@@ -38,7 +38,8 @@
 /// Subscriber to hub: sent about once a second, and at once when the primary hub changes.
 struct report_message
 {
-    bool primary = false; ///< The subscriber asks this hub for account grants.
+    bool primary = false;       ///< The subscriber asks this hub for account grants.
+    float selection_rate = 0.0; ///< Selections/s of a backend server by the subscriber.
 
     bool operator==(const report_message&) const = default;
 };
@@ -78,6 +79,7 @@
 {
     std::uint32_t members_known = 0; ///< Subscribed now or recently, the hub included.
     bool settled = false; ///< The hub has run long enough for every member to have subscribed.
+    float selection_rate = 0.0; ///< Selections/s of the hub and its subscribers together.
     /// The hub and the members subscribed now; empty if unchanged since the last message.
     std::vector<member> members;
 
--- a/src/fleet/registry.cpp
+++ b/src/fleet/registry.cpp
@@ -16,6 +16,16 @@
 /// A member that no hub has reported for longer has left the fleet.
 constexpr core::duration member_cache_lifetime = std::chrono::seconds(5);
 
+float total_selection_rate(const registry& registry)
+{
+    float total = registry.own_selection_rate;
+    for (const auto& [vm, entry] : registry.members)
+    {
+        total += entry.subscribed ? entry.selection_rate : 0.0F;
+    }
+    return total;
+}
+
 } // namespace
 
 void record_members(member_cache& cache, const std::vector<member>& members, core::time_point now)
@@ -56,15 +66,17 @@
     entry.last_heard = now;
 }
 
-bool on_report(registry& registry, const std::string& vm, bool primary, core::time_point now)
+bool on_report(registry& registry, const std::string& vm, const report_message& report,
+               core::time_point now)
 {
     const auto found = registry.members.find(vm);
     if (found == registry.members.end())
     {
         return false;
     }
-    const bool changed = found->second.primary != primary;
-    found->second.primary = primary;
+    const bool changed = found->second.primary != report.primary;
+    found->second.primary = report.primary;
+    found->second.selection_rate = report.selection_rate;
     found->second.last_heard = now;
     return changed;
 }
@@ -92,7 +104,8 @@
 fleet_message make_fleet_summary(const registry& registry, core::time_point now)
 {
     return {.members_known = static_cast<std::uint32_t>(registry.members.size() + 1),
-            .settled = now - registry.started >= discovery_time};
+            .settled = now - registry.started >= discovery_time,
+            .selection_rate = total_selection_rate(registry)};
 }
 
 fleet_message make_fleet_message(const registry& registry, core::time_point now)
--- a/src/fleet/registry.hpp
+++ b/src/fleet/registry.hpp
@@ -21,12 +21,14 @@
     bool subscribed = false;       ///< Its connection is open.
     core::time_point last_heard;   ///< Time of its last hello, report or disconnection.
     bool primary = false;          ///< It reported this daemon as its primary hub.
+    float selection_rate = 0.0;    ///< As in its last report_message.
 };
 
 /// The members that subscribed to this daemon.
 struct registry
 {
     member self;
+    float own_selection_rate = 0.0;                             ///< Of this daemon itself.
     core::time_point started;                                   ///< Start of this daemon.
     std::unordered_map<std::string, registered_member> members; ///< By VM, without this daemon.
     std::uint64_t members_version = 1; ///< Incremented when the subscribed members change.
@@ -51,7 +53,8 @@
 /// Records a new subscription.
 void on_hello(registry& registry, const hello_message& hello, core::time_point now);
 /// Records a report of a member. Returns whether `primary` changed; false for an unknown VM.
-bool on_report(registry& registry, const std::string& vm, bool primary, core::time_point now);
+bool on_report(registry& registry, const std::string& vm, const report_message& report,
+               core::time_point now);
 /// Records the end of a subscription, unless a newer incarnation of the VM has subscribed since.
 void on_unsubscribed(registry& registry, const std::string& vm, std::uint64_t incarnation,
                      core::time_point now);
--- a/src/net/backend_selection.cpp
+++ b/src/net/backend_selection.cpp
@@ -14,10 +14,6 @@
 namespace
 {
 
-/// Candidates probed at once. The best of two already avoids most full servers, and each further
-/// candidate costs its server the time of a probe.
-constexpr std::size_t candidates_per_round = 2;
-constexpr int max_probe_rounds = 2;
 /// Value of load_reading::slowdown, the factor by which work takes longer than usual, up to which a
 /// free server ends the selection. If every free server is slower, a further round of candidates is
 /// probed.
@@ -28,6 +24,9 @@
 /// A server whose load reading is younger than this is not probed again. Responses to requests also
 /// carry load readings.
 constexpr core::duration max_reading_age = std::chrono::milliseconds(15);
+/// A connection that has been idle for longer is not used without a probe: the server may have
+/// closed it, and then nobody knows whether the request ran.
+constexpr core::duration max_unprobed_idle_time = std::chrono::seconds(1);
 /// Time after which a probe is abandoned and its connection closed.
 constexpr core::duration probe_timeout = std::chrono::milliseconds(1000);
 
@@ -55,6 +54,14 @@
                        {"why", routing::to_string(kind)}});
 }
 
+asio::awaitable<probe_result> send_load_probe(gateway& gateway,
+                                              const backend_connection_pointer& connection,
+                                              const probe_request& probe)
+{
+    limits::on_probe_sent(gateway.probe_budget, core::boot_clock_now());
+    return gateway.backend_connections.probe(connection, probe);
+}
+
 // Returns a connection that the request can use, on which the server has just responded, or null.
 asio::awaitable<backend_connection_pointer> probe_candidate(gateway& gateway,
                                                             routing::backend_pointer server)
@@ -80,7 +87,7 @@
     probe_result result;
     if (connection)
     {
-        result = co_await gateway.backend_connections.probe(connection, probe);
+        result = co_await send_load_probe(gateway, connection, probe);
     }
     if (!result.answered && !(connection && connection->timer.expired()))
     {
@@ -90,7 +97,7 @@
             record_failure(gateway, server, routing::failure_kind::unreachable);
             co_return nullptr;
         }
-        result = co_await gateway.backend_connections.probe(connection, probe);
+        result = co_await send_load_probe(gateway, connection, probe);
     }
     if (!result.answered)
     {
@@ -164,15 +171,15 @@
     }
 }
 
-// Starts a round of probes and adds its servers to `excluded`. Returns the number of probes
-// started.
+// Starts a round of up to `count` probes and adds its servers to `excluded`. Returns the number of
+// probes started.
 std::size_t start_probes(gateway& gateway, const std::shared_ptr<selection_probes>& probes,
                          const selection_criteria& criteria,
-                         std::vector<routing::backend_pointer>& excluded)
+                         std::vector<routing::backend_pointer>& excluded, std::size_t count)
 {
     const std::vector<routing::backend_pointer> list =
-        routing::select_candidates(gateway.backends, criteria.service, excluded,
-                                   candidates_per_round, core::boot_clock_now(), gateway.random);
+        routing::select_candidates(gateway.backends, criteria.service, excluded, count,
+                                   core::boot_clock_now(), gateway.random);
     probes->pending += list.size();
     for (const routing::backend_pointer& server : list)
     {
@@ -213,19 +220,56 @@
     return out;
 }
 
-} // namespace
+// Opens a connection to the server, or takes an idle one that was used a moment ago.
+asio::awaitable<backend_connection_pointer> connect_unprobed(gateway& gateway,
+                                                             const routing::backend_pointer& server)
+{
+    backend_connection_pointer connection = gateway.backend_connections.take_idle(
+        *server, core::boot_clock_now() - max_unprobed_idle_time);
+    if (!connection)
+    {
+        connection = co_await gateway.backend_connections.connect(*server);
+    }
+    if (!connection)
+    {
+        record_failure(gateway, server, routing::failure_kind::unreachable);
+    }
+    co_return connection;
+}
 
-asio::awaitable<backend_selection> select_backend(gateway& gateway,
-                                                  const selection_criteria& criteria)
+// Selects the best candidate by what is known of it.
+asio::awaitable<backend_selection> select_unprobed(gateway& gateway,
+                                                   const selection_criteria& criteria)
+{
+    ++gateway.counters.unprobed_selections;
+    selection_probes selected(gateway.io);
+    const std::vector<routing::backend_pointer> list =
+        routing::select_candidates(gateway.backends, criteria.service, criteria.excluded, 1,
+                                   core::boot_clock_now(), gateway.random);
+    for (const routing::backend_pointer& server : list)
+    {
+        if (auto connection = co_await connect_unprobed(gateway, server))
+        {
+            selected.answered.push_back({.server = server, .connection = std::move(connection)});
+        }
+    }
+    backend_selection out = select_best(gateway, selected, criteria);
+    out.candidates = list.size();
+    co_return out;
+}
+
+// Selects the best of the candidates that respond to a probe.
+asio::awaitable<backend_selection>
+select_probed(gateway& gateway, const selection_criteria& criteria, limits::probe_plan plan)
 {
-    ++gateway.counters.selections;
     const auto probes = std::make_shared<selection_probes>(gateway.io);
     std::vector<routing::backend_pointer> excluded(criteria.excluded.begin(),
                                                    criteria.excluded.end());
     std::size_t probed_count = 0;
-    for (int round = 0; round < max_probe_rounds; ++round)
+    for (std::size_t round = 0; round < plan.rounds; ++round)
     {
-        const std::size_t started = start_probes(gateway, probes, criteria, excluded);
+        const std::size_t started =
+            start_probes(gateway, probes, criteria, excluded, plan.per_round);
         probed_count += started;
         if (started == 0)
         {
@@ -244,4 +288,16 @@
     co_return out;
 }
 
+} // namespace
+
+asio::awaitable<backend_selection> select_backend(gateway& gateway,
+                                                  const selection_criteria& criteria)
+{
+    ++gateway.counters.selections;
+    const limits::probe_plan plan =
+        limits::plan_probes(gateway.probe_budget, core::boot_clock_now());
+    return plan.rounds == 0 ? select_unprobed(gateway, criteria)
+                            : select_probed(gateway, criteria, plan);
+}
+
 } // namespace zinniaferry::net
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -158,6 +158,7 @@
         gateway_.accounts.tolerance = bounds.account_rate_tolerance;
         gateway_.retry_budget.options = {.ratio = bounds.retry_budget_ratio,
                                          .slack = bounds.retry_budget_slack};
+        gateway_.probe_budget.options.rate_per_server = bounds.probe_rate_per_server;
         gateway_.backends.options.cold_overage = bounds.cold_overage;
         gateway_.backends.options.cold_slack = bounds.cold_slack;
         links_.set_seeds(settings_.seeds);
@@ -165,15 +166,17 @@
 
     hub_link_callbacks link_callbacks()
     {
-        return {.on_changes = [this](const std::vector<fleet::entry_change>& changes)
-                { apply_changes(changes); },
-                .on_fleet_view = [this](const fleet_view& view) { apply_fleet_view(view); },
-                .take_from_pool =
-                    [this](const std::string& account)
-                {
-                    return limits::take_from_pool(gateway_.accounts, account,
-                                                  core::boot_clock_now());
-                }};
+        return {
+            .on_changes = [this](const std::vector<fleet::entry_change>& changes)
+            { apply_changes(changes); },
+            .on_fleet_view = [this](const fleet_view& view) { apply_fleet_view(view); },
+            .take_from_pool = [this](const std::string& account)
+            { return limits::take_from_pool(gateway_.accounts, account, core::boot_clock_now()); },
+            .selection_count =
+                [this]
+            {
+                return gateway_.counters.selections;
+            }};
     }
 
     void apply_fleet_view(const fleet_view& view)
@@ -186,6 +189,8 @@
                                now);
         limits::set_standalone(gateway_.accounts, !view.hub_reachable, now);
         gateway_.retry_budget.members = view.members_known;
+        gateway_.probe_budget.share = limits::probe_share(
+            view.own_selection_rate, view.fleet_selection_rate, view.members_known);
         gateway_.backends.members = view.members;
         gateway_.backends.are_members_known = view.is_size_known;
     }
@@ -280,6 +285,7 @@
              {"repeats", requests.repeats},
              {"selections", requests.selections},
              {"selection_probes", probes.at(static_cast<std::size_t>(probe_purpose::selection))},
+             {"unprobed_selections", requests.unprobed_selections},
              {"trial_probes", probes.at(static_cast<std::size_t>(probe_purpose::trial))},
              {"grant_timeouts", links_.counters().grant_timeouts}});
     }
--- a/src/net/daemon.hpp
+++ b/src/net/daemon.hpp
@@ -73,8 +73,9 @@
 /// Limits that hold for the whole fleet, not for each daemon.
 struct fleet_bounds
 {
-    double retry_budget_ratio = 0.1;  ///< Retries per request.
-    double retry_budget_slack = 20.0; ///< Retries that the fleet may save up.
+    double retry_budget_ratio = 0.1;     ///< Retries per request.
+    double retry_budget_slack = 20.0;    ///< Retries that the fleet may save up.
+    double probe_rate_per_server = 60.0; ///< Probes/s of each backend server, on average.
     limits::rate_tolerance account_rate_tolerance;
     double cold_overage = 1.0; ///< Factor on a cold server's warm-up rate that is tolerated.
     double cold_slack = 5.0;   ///< Requests/s to one cold server tolerated above that.
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -20,6 +20,7 @@
     {
         co_return;
     }
+    limits::on_probe_sent(gateway.probe_budget, core::boot_clock_now());
     // A named object: GCC 12 destroys aggregate temporaries of a co_await expression twice.
     const probe_request probe = {.server_id = server->listed.id,
                                  .path = health_path(gateway, server->listed.service),
@@ -136,6 +137,7 @@
     const auto known = gateway.backends.by_id.find(server.id);
     const bool changed = known == gateway.backends.by_id.end() || known->second->listed != server;
     routing::apply_listing(gateway.backends, server, now);
+    gateway.probe_budget.servers = gateway.backends.by_id.size();
     if (changed)
     {
         gateway.log.write("servers", "listed",
@@ -149,6 +151,7 @@
 void remove_server(gateway& gateway, const std::string& id)
 {
     routing::remove_listing(gateway.backends, id);
+    gateway.probe_budget.servers = gateway.backends.by_id.size();
     gateway.log.write("servers", "removed", {{"server", id}});
 }
 
@@ -225,7 +228,10 @@
 {
     for (routing::backend_pointer& server : routing::take_due_probes(gateway.backends, now))
     {
-        asio::co_spawn(gateway.io, probe_suspect(gateway, std::move(server)), asio::detached);
+        if (limits::may_send_trial(gateway.probe_budget, now))
+        {
+            asio::co_spawn(gateway.io, probe_suspect(gateway, std::move(server)), asio::detached);
+        }
     }
     gateway.backend_connections.close_stale(gateway.backends, now);
 }
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -4,6 +4,7 @@
 
 #include "config/index.hpp"
 #include "limits/account_pools.hpp"
+#include "limits/probe_budget.hpp"
 #include "limits/retry_budget.hpp"
 #include "net/backend_connection_pool.hpp"
 #include "net/event_log.hpp"
@@ -36,7 +37,8 @@
     std::uint64_t answered = 0;    ///< Answered with a backend server's response.
     std::uint64_t caller_gone = 0; ///< Cancelled because the caller disconnected.
     std::uint64_t repeats = 0;     ///< Retries and hedges: attempts after a request's first.
-    std::uint64_t selections = 0;  ///< Selections of a backend server; each sends probes.
+    std::uint64_t selections = 0;  ///< Selections of a backend server.
+    std::uint64_t unprobed_selections = 0; ///< Selections without a probe, for lack of budget.
     /// By refusal_reason. Includes requests that could not be parsed, which `requests` does not.
     std::array<std::uint64_t, request::refusal_reason_count> refused{};
 };
@@ -58,6 +60,7 @@
     /// Asks the fleet's hub for a grant for an account; returns nothing if no hub responds in time.
     std::function<asio::awaitable<std::optional<limits::grant>>(std::string)> request_hub_grant;
     limits::retry_budget retry_budget;
+    limits::probe_budget probe_budget;
     backend_connection_pool backend_connections;
     event_log log;
     core::random_generator random;
--- a/src/net/gateway_metrics.cpp
+++ b/src/net/gateway_metrics.cpp
@@ -60,6 +60,8 @@
           number(gateway.backend_connections.counters.connections));
     print(out, "counter", "zinnia_selections_total", "Selections of a backend server.",
           number(counters.selections));
+    print(out, "counter", "zinnia_unprobed_selections_total",
+          "Selections without a probe, for lack of budget.", number(counters.unprobed_selections));
     print_probes(out, gateway.backend_connections.counters);
     print(out, "counter", "zinnia_platform_calls_total", "Calls to the platform's store.",
           number(daemon.platform_calls));
--- a/src/net/hub_links.cpp
+++ b/src/net/hub_links.cpp
@@ -48,6 +48,7 @@
     choice_.own_address = self.address;
     registry_.self = std::move(self);
     registry_.started = core::boot_clock_now();
+    selections_counted_at_ = registry_.started;
 }
 
 void hub_links::set_seeds(const std::vector<std::string>& seeds)
@@ -195,7 +196,7 @@
     {
         if (const auto* report = std::get_if<fleet::report_message>(&*message))
         {
-            if (fleet::on_report(registry_, vm, report->primary, core::boot_clock_now()))
+            if (fleet::on_report(registry_, vm, *report, core::boot_clock_now()))
             {
                 report_fleet_view();
             }
@@ -298,6 +299,10 @@
             primary_hub_ = primary;
             report_at = now + report_interval;
             fleet::remove_expired_members(registry_, now);
+            if (now - selections_counted_at_ >= report_interval)
+            {
+                update_selection_rate(now);
+            }
             send_reports();
             report_fleet_view();
         }
@@ -311,10 +316,25 @@
 {
     for (const auto& [address, hub] : hubs_)
     {
-        send(*hub, fleet::report_message{.primary = address == primary_hub_});
+        send(*hub, make_report(address));
     }
 }
 
+fleet::report_message hub_links::make_report(const std::string& hub_address) const
+{
+    return {.primary = hub_address == primary_hub_, .selection_rate = registry_.own_selection_rate};
+}
+
+void hub_links::update_selection_rate(core::time_point now)
+{
+    const std::uint64_t count = callbacks_.selection_count();
+    registry_.own_selection_rate =
+        static_cast<float>(static_cast<double>(count - selections_counted_) /
+                           core::to_seconds(now - selections_counted_at_));
+    selections_counted_ = count;
+    selections_counted_at_ = now;
+}
+
 asio::awaitable<void> hub_links::subscribe(std::string address)
 {
     const auto endpoint = parse_endpoint(address);
@@ -341,7 +361,7 @@
     send(*hub, fleet::hello_message{.self = registry_.self,
                                     .incarnation = incarnation_,
                                     .revision = replica_.complete ? replica_.revision : 0});
-    send(*hub, fleet::report_message{.primary = address == primary_hub_});
+    send(*hub, make_report(address));
     asio::co_spawn(io_, write_frames(hub), asio::detached);
     while (const auto message = co_await receive(*hub))
     {
@@ -431,12 +451,17 @@
     std::size_t known = own.members_known;
     bool all_settled = own.settled;
     bool any_settled = own.settled;
+    double fleet_selection_rate = primary_hub_ == choice_.own_address ? own.selection_rate : 0.0;
     for (const auto& [address, hub] : hubs_)
     {
         const bool has_reported = hub->last_fleet.members_known > 0;
         known = std::max<std::size_t>(known, hub->last_fleet.members_known);
         all_settled = all_settled && (!has_reported || hub->last_fleet.settled);
         any_settled = any_settled || (has_reported && hub->last_fleet.settled);
+        if (address == primary_hub_)
+        {
+            fleet_selection_rate = hub->last_fleet.selection_rate;
+        }
         fleet::record_members(member_cache_, hub->members, now);
     }
     fleet_view view;
@@ -445,6 +470,8 @@
     view.primary_members =
         fleet::count_primary_members(registry_) + (primary_hub_ == choice_.own_address ? 1 : 0);
     view.hub_reachable = primary_hub_.has_value();
+    view.own_selection_rate = registry_.own_selection_rate;
+    view.fleet_selection_rate = fleet_selection_rate;
     view.is_size_known = any_settled;
     callbacks_.on_fleet_view(view);
 }
--- a/src/net/hub_links.hpp
+++ b/src/net/hub_links.hpp
@@ -26,10 +26,12 @@
 /// What this daemon knows of the fleet, from its subscribers and its hubs.
 struct fleet_view
 {
-    std::vector<std::string> members; ///< VMs reported recently, this one included.
-    std::size_t members_known = 1;    ///< Includes those that disconnected recently.
-    std::size_t primary_members = 0;  ///< Members whose primary hub is this daemon.
-    bool hub_reachable = false;       ///< There is a primary hub, which may be this daemon.
+    std::vector<std::string> members;  ///< VMs reported recently, this one included.
+    std::size_t members_known = 1;     ///< Includes those that disconnected recently.
+    std::size_t primary_members = 0;   ///< Members whose primary hub is this daemon.
+    bool hub_reachable = false;        ///< There is a primary hub, which may be this daemon.
+    double own_selection_rate = 0.0;   ///< Selections/s of a backend server by this daemon.
+    double fleet_selection_rate = 0.0; ///< The same of the whole fleet; 0 if not known.
     bool is_size_known = false; ///< This daemon or a hub has run long enough to know every member.
 };
 
@@ -43,6 +45,8 @@
     std::function<void(const fleet_view&)> on_fleet_view;
     /// Takes requests of an account from this daemon's pool, for a subscriber or for this daemon.
     std::function<limits::grant(const std::string&)> take_from_pool;
+    /// Returns the number of selections of a backend server since the start.
+    std::function<std::uint64_t()> selection_count;
 };
 
 /// Traffic with other daemons since the start.
@@ -130,6 +134,8 @@
     asio::awaitable<void> subscribe(std::string address);
     asio::awaitable<void> receive_from_hub(std::string address, link_pointer hub);
     void send_reports();
+    fleet::report_message make_report(const std::string& hub_address) const;
+    void update_selection_rate(core::time_point now);
     void handle_message(const std::string& address, link& hub, const fleet::hub_message& message);
     void handle_update(const std::string& address, const fleet::update_message& update);
     void handle_grant(const fleet::grant_message& message);
@@ -153,6 +159,8 @@
     std::uint64_t next_request_number_ = 1;
     std::optional<std::string> primary_hub_; ///< Address; may be this daemon's own.
     bool received_update_ = false;
+    std::uint64_t selections_counted_ = 0; ///< At `selections_counted_at_`.
+    core::time_point selections_counted_at_;
     hub_link_counters counters_;
 };
 
--- a/test/correctness/fleet/hub_choice_test.cpp
+++ b/test/correctness/fleet/hub_choice_test.cpp
@@ -210,7 +210,7 @@
         if (each.vm != "vm-0")
         {
             on_hello(hub, {.self = each, .incarnation = 1}, start);
-            on_report(hub, each.vm, true, start);
+            on_report(hub, each.vm, {.primary = true}, start);
         }
     }
     EXPECT_EQ(make_fleet_message(hub, start).members.size(), 4U);
@@ -239,9 +239,9 @@
     on_hello(hub, {.self = {"vm-1", "m1"}, .incarnation = 1}, start);
     const std::uint64_t one = hub.members_version;
     EXPECT_NE(one, empty);
-    EXPECT_TRUE(on_report(hub, "vm-1", true, start));
-    EXPECT_FALSE(on_report(hub, "vm-1", true, start + 1s));
-    EXPECT_FALSE(on_report(hub, "vm-2", true, start + 1s)) << "it is not a member";
+    EXPECT_TRUE(on_report(hub, "vm-1", {.primary = true}, start));
+    EXPECT_FALSE(on_report(hub, "vm-1", {.primary = true}, start + 1s));
+    EXPECT_FALSE(on_report(hub, "vm-2", {.primary = true}, start + 1s)) << "it is not a member";
     on_hello(hub, {.self = {"vm-1", "m1"}, .incarnation = 2}, start + 2s);
     on_unsubscribed(hub, "vm-1", 1, start + 2s);
     EXPECT_EQ(hub.members_version, one);
--- a/test/correctness/fleet/hub_messages_test.cpp
+++ b/test/correctness/fleet/hub_messages_test.cpp
@@ -14,13 +14,16 @@
 std::vector<hub_message> samples()
 {
     return {hello_message{.self = {"vm-1", "10.0.0.1:7"}, .incarnation = 77, .revision = 12},
-            report_message{.primary = true},
+            report_message{.primary = true, .selection_rate = 12.5F},
             update_message{.revision = 9,
                            .complete = true,
                            .age = 1500us,
                            .changes = {{"servers/a", std::string("{}\0x", 4), 8},
                                        {"servers/b", std::nullopt, 9}}},
-            fleet_message{.members_known = 3, .settled = true, .members = {{"vm-2", "m2"}}},
+            fleet_message{.members_known = 3,
+                          .settled = true,
+                          .selection_rate = 99.0F,
+                          .members = {{"vm-2", "m2"}}},
             ask_message{.number = 5, .account = "a"},
             grant_message{.number = 5, .requests = 2, .retry_after = 250ms}};
 }
--- a/test/correctness/net/backend_selection_test.cpp
+++ b/test/correctness/net/backend_selection_test.cpp
@@ -1,6 +1,7 @@
 #include "net/backend_selection.hpp"
 
 #include "support/canned_server.hpp"
+#include "support/front_end.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -41,7 +42,7 @@
     {
         const routing::listed_backend listed = {
             .id = id, .service = "s", .address = address, .data_centre = data_centre, .slots = 2};
-        routing::apply_listing(test_gateway.backends, listed, core::boot_clock_now());
+        apply_server_listing(test_gateway, listed, core::boot_clock_now());
     }
 
     std::string select_server(std::span<const routing::backend_pointer> excluded = {})
@@ -102,5 +103,31 @@
     EXPECT_EQ(select_server(), "none");
 }
 
+// Guards against probes that follow the requests without a bound: in a burst, each server got more
+// probes than the operators allow.
+TEST_F(backend_selection_test, a_burst_of_requests_sends_no_more_probes_than_the_budget)
+{
+    constexpr double rate = 5.0;
+    test_gateway.probe_budget.options.rate_per_server = rate;
+    test_support::raw_server first("");
+    test_support::raw_server second("");
+    add_server_at("first", first.address());
+    add_server_at("second", second.address());
+    const core::time_point started = core::boot_clock_now();
+    constexpr int requests = 200;
+    int selected = 0;
+    for (int i = 0; i < requests; ++i)
+    {
+        selected += select_server() == "none" ? 0 : 1;
+    }
+    // A daemon starts with the probes of one second, and a selection may exceed what is left.
+    const double seconds = core::to_seconds(core::boot_clock_now() - started) + 1.0;
+    const auto& probes = test_gateway.backend_connections.counters.probes;
+    EXPECT_LE(probes.at(static_cast<std::size_t>(probe_purpose::selection)),
+              rate * 2.0 * seconds + 4.0);
+    EXPECT_GT(test_gateway.counters.unprobed_selections, 0U);
+    EXPECT_EQ(selected, requests);
+}
+
 } // namespace
 } // namespace zinniaferry::net
