Replace a hub whose grants come late, and use late grants

Cause: the VM of the primary hub of all daemons ran five times slower. Its updates still came, so it stayed the primary, but its grants came after the 20 ms that a request waits. Each late grant had been taken from the account's pool and was dropped; members that reach a hub have no share of the rate of their own. Evidence: 7,645 grant timeouts, all refusals of these seconds at 15 of 16 daemons 'rate_decided_by standalone' after 20.1 ms, all accounts. Ruled out: empty pools because of the account that sends eight times its rate (then 'hub' decides, and for that account only).

Change: a grant that comes late is added to the daemon's grants until it would have expired anyway; after five late grants in a row the hub is not the primary for 10 s while another is reachable.

--- a/src/fleet/hub_choice.cpp
+++ b/src/fleet/hub_choice.cpp
@@ -28,6 +28,9 @@
 constexpr core::duration fast_retry_delay = std::chrono::milliseconds(100);
 /// After this many failures a seed is taken to be down rather than starting.
 constexpr std::uint32_t max_fast_retries = 20;
+/// Late grants in a row after which a hub is slow.
+constexpr std::uint32_t max_late_grants = 5;
+constexpr core::duration slow_hub_time = std::chrono::seconds(10);
 
 // Returns when the next connection to the candidate may be opened. `fast_retry` applies while no
 // hub is reachable.
@@ -216,6 +219,24 @@
     }
 }
 
+void on_grant_in_time(hub_choice& choice, const std::string& address)
+{
+    if (hub_candidate* candidate = find(choice, address))
+    {
+        candidate->late_grants = 0;
+    }
+}
+
+void on_grant_late(hub_choice& choice, const std::string& address, core::time_point now)
+{
+    hub_candidate* candidate = find(choice, address);
+    if (candidate != nullptr && ++candidate->late_grants >= max_late_grants)
+    {
+        candidate->late_grants = 0;
+        candidate->slow_until = now + slow_hub_time;
+    }
+}
+
 bool is_hub(const hub_choice& choice, core::time_point now)
 {
     return is_wanted(choice, choice.own_address, now);
@@ -223,17 +244,22 @@
 
 std::optional<std::string> primary_hub(const hub_choice& choice, core::time_point now)
 {
-    std::optional<std::string> out;
+    std::optional<std::string> first;
+    std::optional<std::string> first_not_slow;
     for_each_wanted(choice, now,
                     [&](const hub_candidate& candidate)
                     {
-                        if (candidate.address == choice.own_address || is_reachable(candidate, now))
+                        const bool own = candidate.address == choice.own_address;
+                        if (own || is_reachable(candidate, now))
                         {
-                            out = candidate.address;
+                            first = first.value_or(candidate.address);
+                            first_not_slow = own || now >= candidate.slow_until
+                                                 ? std::optional(candidate.address)
+                                                 : std::nullopt;
                         }
-                        return !out.has_value();
+                        return !first_not_slow.has_value();
                     });
-    return out;
+    return first_not_slow ? first_not_slow : first;
 }
 
 bool must_follow_platform(const hub_choice& choice, bool has_subscribers, core::time_point started,
@@ -257,6 +283,7 @@
         out.push_back({{"address", entry.address},
                        {"connected", entry.connected},
                        {"current", is_current(entry, now)},
+                       {"slow", now < entry.slow_until},
                        {"wanted", is_wanted(choice, entry.address, now)}});
     }
     return out;
--- a/src/fleet/hub_choice.hpp
+++ b/src/fleet/hub_choice.hpp
@@ -30,6 +30,8 @@
     core::time_point closed_at; ///< When a connection was last closed or could not be opened.
     /// Connections closed or not opened since the last update; they lengthen the retry delay.
     std::uint32_t consecutive_failures = 0;
+    std::uint32_t late_grants = 0; ///< In a row.
+    core::time_point slow_until;   ///< Until then the primary hub only if there is no other.
 };
 
 /// The candidates in rank order, with the state of the connections to them.
@@ -65,11 +67,19 @@
 void on_update(hub_choice& choice, const std::string& address, core::duration age,
                core::time_point now);
 
+/// Records that the candidate answered a request for a grant in time.
+void on_grant_in_time(hub_choice& choice, const std::string& address);
+/// Records that the candidate did not answer a request for a grant in time. A candidate that is
+/// late several times in a row is slow for 10 s: a daemon whose processor is short still sends
+/// updates.
+void on_grant_late(hub_choice& choice, const std::string& address, core::time_point now);
+
 /// Returns whether this daemon is one of its own hubs.
 bool is_hub(const hub_choice& choice, core::time_point now);
 
-/// Returns the address of the highest-ranked reachable hub, which may be this daemon's own, or
-/// nullopt if there is none. The hub may be stale: while the platform is down, all hubs are.
+/// Returns the address of the highest-ranked reachable hub that is not slow, or else of the
+/// highest-ranked reachable one. It may be this daemon's own; nullopt if there is none. The hub may
+/// be stale: while the platform is down, all hubs are.
 std::optional<std::string> primary_hub(const hub_choice& choice, core::time_point now);
 
 /// Returns whether this daemon follows the platform itself: because it is a hub, has subscribers,
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -172,6 +172,13 @@
             .on_fleet_view = [this](const fleet_view& view) { apply_fleet_view(view); },
             .take_from_pool = [this](const std::string& account)
             { return limits::take_from_pool(gateway_.accounts, account, core::boot_clock_now()); },
+            .on_late_grant =
+                [this](const std::string& account, const limits::grant& grant,
+                       core::time_point asked_at)
+            {
+                // The grant expires as if it had arrived in time.
+                limits::add_granted(gateway_.accounts, account, grant.requests, asked_at);
+            },
             .selection_count =
                 [this]
             {
--- a/src/net/hub_links.cpp
+++ b/src/net/hub_links.cpp
@@ -31,6 +31,8 @@
 constexpr core::duration write_timeout = std::chrono::seconds(2);
 /// A request waits no longer for its account's grant; a hub in the region answers in a few ms.
 constexpr core::duration grant_timeout = std::chrono::milliseconds(20);
+/// A grant that arrives later is void.
+constexpr core::duration late_grant_retention = std::chrono::seconds(1);
 /// Size of the length field in front of each frame.
 constexpr std::size_t frame_length_bytes = 4;
 /// A peer that reads so slowly that more frames are waiting is disconnected.
@@ -299,6 +301,7 @@
             primary_hub_ = primary;
             report_at = now + report_interval;
             fleet::remove_expired_members(registry_, now);
+            remove_expired_requests(now);
             if (now - selections_counted_at_ >= report_interval)
             {
                 update_selection_rate(now);
@@ -410,12 +413,27 @@
 void hub_links::handle_grant(const fleet::grant_message& message)
 {
     const auto found = pending_requests_.find(message.number);
-    if (found != pending_requests_.end())
+    if (found == pending_requests_.end())
     {
-        found->second->grant =
-            limits::grant{.requests = message.requests, .retry_after = message.retry_after};
-        found->second->answered.cancel();
+        return;
     }
+    const std::shared_ptr<pending_request> request = found->second;
+    pending_requests_.erase(found);
+    const limits::grant grant = {.requests = message.requests, .retry_after = message.retry_after};
+    if (request->timed_out)
+    {
+        callbacks_.on_late_grant(request->account, grant, request->asked_at);
+        return;
+    }
+    request->grant = grant;
+    request->answered.cancel();
+}
+
+void hub_links::remove_expired_requests(core::time_point now)
+{
+    std::erase_if(
+        pending_requests_, [&](const auto& entry)
+        { return entry.second->timed_out && now - entry.second->asked_at > late_grant_retention; });
 }
 
 asio::awaitable<std::optional<limits::grant>> hub_links::request_grant(std::string account)
@@ -429,16 +447,25 @@
     {
         co_return std::nullopt;
     }
-    pending_request waiting(io_);
+    const std::string address = hub->first;
+    const auto request = std::make_shared<pending_request>(io_, account);
     const std::uint64_t number = next_request_number_++;
-    pending_requests_.emplace(number, &waiting);
+    pending_requests_.emplace(number, request);
     send(*hub->second, fleet::ask_message{.number = number, .account = std::move(account)});
-    waiting.answered.expires_after(grant_timeout);
+    request->answered.expires_after(grant_timeout);
     error_code ignored;
-    co_await waiting.answered.async_wait(redirect_error_to(ignored));
-    pending_requests_.erase(number);
-    counters_.grant_timeouts += waiting.grant ? 0 : 1;
-    co_return waiting.grant;
+    co_await request->answered.async_wait(redirect_error_to(ignored));
+    if (request->grant)
+    {
+        fleet::on_grant_in_time(choice_, address);
+    }
+    else
+    {
+        request->timed_out = true;
+        ++counters_.grant_timeouts;
+        fleet::on_grant_late(choice_, address, core::boot_clock_now());
+    }
+    co_return request->grant;
 }
 
 // Combines the reports of the hubs with this daemon's own registry: the union of their members, and
--- a/test/correctness/fleet/hub_choice_test.cpp
+++ b/test/correctness/fleet/hub_choice_test.cpp
@@ -56,6 +56,34 @@
     EXPECT_EQ(primary_hub(choice, start), "s1");
 }
 
+// Guards against a fleet that refuses requests within their account's rate because its hub's VM is
+// so slow that grants come late, although its updates still arrive.
+TEST_F(hub_choice_test, a_hub_whose_grants_are_late_is_not_the_primary)
+{
+    make("m5");
+    connect("s1", start);
+    connect("s2", start);
+    for (int i = 0; i < 4; ++i)
+    {
+        on_grant_late(choice, "s1", start);
+    }
+    EXPECT_EQ(primary_hub(choice, start), "s1");
+    on_grant_in_time(choice, "s1");
+    for (int i = 0; i < 5; ++i)
+    {
+        EXPECT_EQ(primary_hub(choice, start), "s1") << "the count starts anew";
+        on_grant_late(choice, "s1", start);
+    }
+    EXPECT_EQ(primary_hub(choice, start), "s2");
+    on_closed(choice, "s2", start);
+    EXPECT_EQ(primary_hub(choice, start), "s1") << "a slow hub is better than none";
+    connect("s2", start + 9s);
+    connect("s1", start + 9s);
+    EXPECT_EQ(primary_hub(choice, start + 9s), "s2");
+    connect("s1", start + 10s);
+    EXPECT_EQ(primary_hub(choice, start + 10s), "s1");
+}
+
 // Guards against a call to the platform by every daemon when the whole fleet starts: the hubs start
 // at the same time and send the others all entries.
 TEST_F(hub_choice_test, a_starting_daemon_waits_for_its_hubs_before_it_follows_the_platform)
