Bound the unparsed bytes of every reader of HTTP

The operators report that bytes that are no answer may come without end, in a head or a body, until the caller closes. Headers and bodies were limited, but the extensions and the trailer of a chunked body were not: Beast keeps them in the buffer until their end, so a daemon's memory grew until the deadline.

A listener discards at most 4 MiB of a caller after an error.

--- a/src/net/backend_connection_pool.hpp
+++ b/src/net/backend_connection_pool.hpp
@@ -30,8 +30,8 @@
 
     asio::ip::tcp::socket socket;
     deadline_timer timer;
-    boost::beast::flat_buffer buffer;    ///< Bytes that were read but not parsed.
-    core::time_point last_response_at;   ///< When the last response was complete.
+    boost::beast::flat_buffer buffer{max_unparsed_bytes}; ///< Bytes that were read but not parsed.
+    core::time_point last_response_at;                    ///< When the last response was complete.
     core::duration keep_alive_timeout{}; ///< Idle time after which the server closes it.
     bool reusable = false;               ///< The last response allows another request.
 };
--- a/src/net/caller_session.cpp
+++ b/src/net/caller_session.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 
 #include <sys/socket.h>
@@ -20,7 +21,8 @@
 
 using boost::system::error_code;
 
-constexpr std::size_t read_chunk_bytes = 4UL * 1024UL;
+/// Bytes beyond the largest header that are read before they are parsed.
+constexpr std::size_t read_ahead_bytes = 4UL * 1024UL;
 /// Time for the caller to read its response before its connection is closed.
 constexpr core::duration write_timeout = std::chrono::seconds(10);
 
@@ -89,19 +91,21 @@
     co_return !error && keep_alive;
 }
 
-// Shuts down the sending side and discards what the caller still sends. Closing with unread bytes
-// would reset the connection, and the caller could lose the response.
+// Shuts down the sending side and discards what the caller still sends, up to a limit. Closing with
+// unread bytes would reset the connection, and the caller could lose the response.
 asio::awaitable<void> close_gracefully(caller_connection& connection)
 {
     constexpr core::duration linger_time = std::chrono::milliseconds(200);
+    constexpr std::size_t max_discarded_bytes = 4UL * 1024UL * 1024UL;
     error_code error;
     connection.socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
     connection.timer.expires_after(linger_time);
     std::array<char, 1024> discarded;
-    while (!error)
+    std::size_t total = 0;
+    while (!error && total < max_discarded_bytes)
     {
-        co_await connection.socket.async_read_some(asio::buffer(discarded),
-                                                   redirect_error_to(error));
+        total += co_await connection.socket.async_read_some(asio::buffer(discarded),
+                                                            redirect_error_to(error));
     }
 }
 
@@ -131,6 +135,9 @@
 {
     const config::caller_limits limits = current_limits(connection.sessions.gateway);
     parser.header_limit(limits.header_bytes);
+    // A pipelined request may already be in the buffer.
+    connection.buffer.max_size(
+        std::max<std::size_t>(connection.buffer.size(), limits.header_bytes + read_ahead_bytes));
     parser.body_limit(limits.body_bytes);
     connection.timer.expires_after(limits.header_timeout);
     error_code error;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -14,8 +14,7 @@
 } // namespace
 
 http_client::http_client(asio::io_context& io, std::string address, std::uint64_t max_body_bytes)
-    : io_(io), address_(std::move(address)), max_body_bytes_(max_body_bytes), socket_(io),
-      timer_(socket_)
+    : address_(std::move(address)), max_body_bytes_(max_body_bytes), socket_(io), timer_(socket_)
 {
 }
 
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -35,12 +35,11 @@
 private:
     boost::asio::awaitable<bool> ensure_connected();
 
-    boost::asio::io_context& io_;
     std::string address_;
     std::uint64_t max_body_bytes_;
     boost::asio::ip::tcp::socket socket_;
     deadline_timer timer_;
-    boost::beast::flat_buffer buffer_;
+    boost::beast::flat_buffer buffer_{max_unparsed_bytes};
 };
 
 } // namespace zinniaferry::net
--- a/src/net/http_get.cpp
+++ b/src/net/http_get.cpp
@@ -1,6 +1,7 @@
 #include "net/http_get.hpp"
 
 #include "net/endpoint.hpp"
+#include "net/message_rules.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -27,7 +28,7 @@
     const http_get_options& options;
     asio::io_context context{1};
     beast::tcp_stream stream{context};
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_unparsed_bytes};
     http::request<http::empty_body> request;
     http::response_parser<http::string_body> parser;
     beast::error_code error = make_error_code(beast::error::timeout);
@@ -71,7 +72,8 @@
     {
         return reason::timeout;
     }
-    if (error == http::error::body_limit || error == http::error::header_limit)
+    if (error == http::error::body_limit || error == http::error::header_limit ||
+        error == http::error::buffer_overflow)
     {
         return reason::too_large;
     }
--- a/src/net/message_rules.hpp
+++ b/src/net/message_rules.hpp
@@ -24,6 +24,10 @@
 /// Limit for the headers of backend servers' responses and of status requests, and for the bodies
 /// of probe responses and of status requests.
 inline constexpr std::uint32_t max_header_bytes = 16U * 1024U;
+/// Limit for the bytes that a connection has read and not parsed. The parser limits headers and
+/// bodies, but not the extensions and the trailer of a chunked body, which may have no end. Above
+/// max_header_bytes, so that the parser reports headers that are too large.
+inline constexpr std::size_t max_unparsed_bytes = 64U * 1024U;
 /// Limit for the bodies of backend servers' responses.
 inline constexpr std::uint64_t max_response_body_bytes = 16ULL * 1024 * 1024;
 
--- a/src/net/status_listener.cpp
+++ b/src/net/status_listener.cpp
@@ -22,7 +22,7 @@
 asio::awaitable<void> serve_client(asio::ip::tcp::socket socket, status_handler handler)
 {
     deadline_timer timer(socket);
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer(max_unparsed_bytes);
     bool keep_alive_connection = true;
     while (keep_alive_connection)
     {
--- a/src/stand_in/http_server.cpp
+++ b/src/stand_in/http_server.cpp
@@ -25,6 +25,8 @@
 using asio::ip::tcp;
 
 constexpr std::uint64_t max_body_bytes = std::uint64_t{4} << 20U;
+/// Limit for bytes that are read and not parsed, such as chunk extensions.
+constexpr std::size_t max_unparsed_bytes = 64U * 1024U;
 constexpr auto accept_retry_delay = std::chrono::milliseconds(20);
 using net::tuple_awaitable;
 
@@ -131,7 +133,7 @@
     const socket_registration entry(connections, socket);
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer(max_unparsed_bytes);
     bool open = true;
     while (open)
     {
