--- a/src/net/request_attempt.cpp
+++ b/src/net/request_attempt.cpp
@@ -3,6 +3,32 @@
 namespace zinniaferry::net
 {
 
+routing::failure_kind failure_kind_of(exchange_outcome outcome)
+{
+    switch (outcome)
+    {
+    case exchange_outcome::wrong_server:
+        return routing::failure_kind::wrong_server;
+    case exchange_outcome::timed_out:
+        return routing::failure_kind::timeout;
+    default:
+        return routing::failure_kind::broken;
+    }
+}
+
+request::refusal_reason refusal_reason_of(exchange_outcome outcome)
+{
+    switch (outcome)
+    {
+    case exchange_outcome::timed_out:
+        return request::refusal_reason::deadline;
+    case exchange_outcome::malformed:
+        return request::refusal_reason::unusable_answer;
+    default:
+        return request::refusal_reason::server_lost;
+    }
+}
+
 boost::json::object describe_attempt(const request_attempt& attempt, core::time_point arrived,
                                      core::duration latency)
 {
--- a/src/net/request_attempt.hpp
+++ b/src/net/request_attempt.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "net/backend_selection.hpp"
+#include "request/refusal.hpp"
 
 #include <boost/json.hpp>
 
@@ -19,6 +20,12 @@
     exchange_result result;
 };
 
+/// Returns what a failed exchange says about its server. Thread safe.
+routing::failure_kind failure_kind_of(exchange_outcome outcome);
+
+/// Returns why a request is refused whose last exchange failed. Thread safe.
+request::refusal_reason refusal_reason_of(exchange_outcome outcome);
+
 /// Returns the attempt's fields for the request's log line. `arrived` is the time at which the
 /// request arrived, `latency` the time since the attempt was sent. Thread safe.
 boost::json::object describe_attempt(const request_attempt& attempt, core::time_point arrived,
--- a/src/net/request_handler.cpp
+++ b/src/net/request_handler.cpp
@@ -36,32 +36,6 @@
     return core::from_seconds(core::to_seconds(total) * fraction);
 }
 
-routing::failure_kind failure_kind_of(exchange_outcome outcome)
-{
-    switch (outcome)
-    {
-    case exchange_outcome::wrong_server:
-        return routing::failure_kind::wrong_server;
-    case exchange_outcome::timed_out:
-        return routing::failure_kind::timeout;
-    default:
-        return routing::failure_kind::broken;
-    }
-}
-
-refusal_reason refusal_reason_of(exchange_outcome outcome)
-{
-    switch (outcome)
-    {
-    case exchange_outcome::timed_out:
-        return refusal_reason::deadline;
-    case exchange_outcome::malformed:
-        return refusal_reason::unusable_answer;
-    default:
-        return refusal_reason::server_lost;
-    }
-}
-
 } // namespace
 
 request_handler::request_handler(gateway& gateway, const http_request& message,
