--- a/src/load/client.cpp
+++ b/src/load/client.cpp
@@ -22,7 +22,7 @@
 
 constexpr std::uint64_t max_response_bytes = std::uint64_t{16} << 20U;
 /// Limit for bytes that are read and not parsed, such as chunk extensions.
-constexpr std::size_t max_unparsed_bytes = 64U * 1024U;
+constexpr std::size_t max_unparsed_bytes = 64UL * 1024UL;
 using net::tuple_awaitable;
 
 // An idle connection must have nothing to read: any bytes would belong to no request, and an end
--- a/src/net/message_rules.hpp
+++ b/src/net/message_rules.hpp
@@ -27,7 +27,7 @@
 /// Limit for the bytes that a connection has read and not parsed. The parser limits headers and
 /// bodies, but not the extensions and the trailer of a chunked body, which may have no end. Above
 /// max_header_bytes, so that the parser reports headers that are too large.
-inline constexpr std::size_t max_unparsed_bytes = 64U * 1024U;
+inline constexpr std::size_t max_unparsed_bytes = 64UL * 1024UL;
 /// Limit for the bodies of backend servers' responses.
 inline constexpr std::uint64_t max_response_body_bytes = 16ULL * 1024 * 1024;
 
--- a/src/stand_in/http_server.cpp
+++ b/src/stand_in/http_server.cpp
@@ -26,7 +26,7 @@
 
 constexpr std::uint64_t max_body_bytes = std::uint64_t{4} << 20U;
 /// Limit for bytes that are read and not parsed, such as chunk extensions.
-constexpr std::size_t max_unparsed_bytes = 64U * 1024U;
+constexpr std::size_t max_unparsed_bytes = 64UL * 1024UL;
 constexpr auto accept_retry_delay = std::chrono::milliseconds(20);
 using net::tuple_awaitable;
 
