Use the token bucket of the account pools for the probe budget

The probe budget had written the refill of a token bucket again. token_bucket is a module of its own now and serves both. The time since the last call counts at the rate of that time, as in the account pools; no other behaviour changes.

--- a/src/limits/account_pools.cpp
+++ b/src/limits/account_pools.cpp
@@ -47,25 +47,6 @@
     return to_double(std::max<std::size_t>(pools.fleet.members_known, 1));
 }
 
-void refill(token_bucket& bucket, core::time_point now)
-{
-    const double earned = core::to_seconds(now - bucket.refilled_at) * bucket.rate;
-    bucket.tokens = std::min(bucket.depth, bucket.tokens + std::max(0.0, earned));
-    bucket.refilled_at = now;
-}
-
-void resize(token_bucket& bucket, double rate, double depth, core::time_point now)
-{
-    if (bucket.refilled_at == core::time_point())
-    {
-        bucket.refilled_at = now;
-    }
-    refill(bucket, now);
-    bucket.rate = rate;
-    bucket.depth = depth;
-    bucket.tokens = std::min(bucket.tokens, depth);
-}
-
 void resize_pool(account_pools& pools, const account_limit& limit, account_pool& pool,
                  core::time_point now)
 {
@@ -245,14 +226,9 @@
     {
         draw_reserve(pools, found->second, now);
     }
-    grant out = {.requests = 1, .source = grant_source::standalone};
-    if (bucket.tokens < 1.0)
-    {
-        out = refused_grant(bucket);
-        out.source = grant_source::standalone;
-        return out;
-    }
-    bucket.tokens -= 1.0;
+    grant out = bucket.tokens < 1.0 ? refused_grant(bucket) : grant{.requests = 1};
+    out.source = grant_source::standalone;
+    bucket.tokens -= out.requests;
     return out;
 }
 
--- a/src/limits/account_pools.hpp
+++ b/src/limits/account_pools.hpp
@@ -14,6 +14,7 @@
 #include "config/model.hpp"
 #include "core/random.hpp"
 #include "core/time.hpp"
+#include "limits/token_bucket.hpp"
 
 #include <boost/json.hpp>
 
@@ -33,15 +34,6 @@
     core::duration window = std::chrono::seconds(5);
 };
 
-/// One token admits one request.
-struct token_bucket
-{
-    double rate = 0.0;  ///< Tokens/s.
-    double depth = 0.0; ///< Most tokens that it holds.
-    double tokens = 0.0;
-    core::time_point refilled_at; ///< The epoch before the first use.
-};
-
 /// The pool that this daemon keeps for an account as a hub.
 struct account_pool
 {
--- a/src/limits/probe_budget.cpp
+++ b/src/limits/probe_budget.cpp
@@ -24,31 +24,22 @@
 /// The probes of this time are kept for trials of suspect servers.
 constexpr core::duration trial_reserve_time = std::chrono::milliseconds(50);
 
-// Probes/s of this daemon.
-double refill_rate(const probe_budget& budget)
-{
-    return budget.options.rate_per_server * used_fraction * static_cast<double>(budget.servers) *
-           budget.share;
-}
-
 void refill(probe_budget& budget, core::time_point now)
 {
-    const double rate = refill_rate(budget);
-    if (budget.refilled_at == core::time_point())
+    const double rate = budget.options.rate_per_server * used_fraction *
+                        static_cast<double>(budget.servers) * budget.share;
+    const bool is_first_use = budget.probes.refilled_at == core::time_point();
+    resize(budget.probes, rate, std::max(1.0, rate * core::to_seconds(max_saved_time)), now);
+    if (is_first_use)
     {
-        budget.tokens = rate * core::to_seconds(initial_time);
-        budget.refilled_at = now;
+        budget.probes.tokens = rate * core::to_seconds(initial_time);
     }
-    const double earned = rate * std::max(0.0, core::to_seconds(now - budget.refilled_at));
-    const double depth = std::max(1.0, rate * core::to_seconds(max_saved_time));
-    budget.tokens = std::min(depth, budget.tokens + earned);
-    budget.refilled_at = now;
 }
 
 // Returns whether at least `probes` are left, and at least those that `time` earns.
 bool has_tokens(const probe_budget& budget, double probes, core::duration time)
 {
-    return budget.tokens >= std::max(probes, refill_rate(budget) * core::to_seconds(time));
+    return budget.probes.tokens >= std::max(probes, budget.probes.rate * core::to_seconds(time));
 }
 
 } // namespace
@@ -82,13 +73,13 @@
 bool may_send_trial(probe_budget& budget, core::time_point now)
 {
     refill(budget, now);
-    return budget.tokens >= 1.0;
+    return budget.probes.tokens >= 1.0;
 }
 
 void on_probe_sent(probe_budget& budget, core::time_point now)
 {
     refill(budget, now);
-    budget.tokens -= 1.0;
+    budget.probes.tokens -= 1.0;
 }
 
 } // namespace zinniaferry::limits
--- a/src/limits/probe_budget.hpp
+++ b/src/limits/probe_budget.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/time.hpp"
+#include "limits/token_bucket.hpp"
 
 #include <cstddef>
 
@@ -20,10 +21,9 @@
 struct probe_budget
 {
     probe_budget_options options;
-    double share = 1.0;           ///< Of the fleet's budget, in [0, 1].
-    std::size_t servers = 0;      ///< Backend servers known to this daemon.
-    double tokens = 0.0;          ///< Probes left; negative after probes beyond the budget.
-    core::time_point refilled_at; ///< The epoch before the first use.
+    double share = 1.0;      ///< Of the fleet's budget, in [0, 1].
+    std::size_t servers = 0; ///< Backend servers known to this daemon.
+    token_bucket probes;     ///< Those left; below 0 after probes beyond the budget.
 };
 
 /// How many probes one selection of a server may send.
