Send load probes and trial probes through one function

A load probe and a trial probe each built the request and took it from the probe budget. send_probe does both. The selection without a probe no longer uses the state of concurrent probes and a loop for one server, and shares the opening of a connection with the probed one. No behaviour changes.

--- a/src/net/backend_selection.cpp
+++ b/src/net/backend_selection.cpp
@@ -54,12 +54,23 @@
                        {"why", routing::to_string(kind)}});
 }
 
+// Opens a connection to the server. Returns null and records the failure if that fails.
+asio::awaitable<backend_connection_pointer> connect(gateway& gateway,
+                                                    const routing::backend_pointer& server)
+{
+    backend_connection_pointer connection = co_await gateway.backend_connections.connect(*server);
+    if (!connection)
+    {
+        record_failure(gateway, server, routing::failure_kind::unreachable);
+    }
+    co_return connection;
+}
+
 asio::awaitable<probe_result> send_load_probe(gateway& gateway,
-                                              const backend_connection_pointer& connection,
-                                              const probe_request& probe)
+                                              const routing::backend_pointer& server,
+                                              const backend_connection_pointer& connection)
 {
-    limits::on_probe_sent(gateway.probe_budget, core::boot_clock_now());
-    return gateway.backend_connections.probe(connection, probe);
+    return send_probe(gateway, *server, connection, probe_purpose::selection, probe_timeout);
 }
 
 // Returns a connection that the request can use, on which the server has just responded, or null.
@@ -80,24 +91,19 @@
     routing::on_load_probe_sent(*server, core::boot_clock_now());
     backend_connection_pointer connection =
         gateway.backend_connections.take_idle(*server, core::time_point());
-    const probe_request probe = {.server_id = server->listed.id,
-                                 .path = health_path(gateway, server->listed.service),
-                                 .timeout = probe_timeout,
-                                 .purpose = probe_purpose::selection};
     probe_result result;
     if (connection)
     {
-        result = co_await send_load_probe(gateway, connection, probe);
+        result = co_await send_load_probe(gateway, server, connection);
     }
     if (!result.answered && !(connection && connection->timer.expired()))
     {
-        connection = co_await gateway.backend_connections.connect(*server);
+        connection = co_await connect(gateway, server);
         if (!connection)
         {
-            record_failure(gateway, server, routing::failure_kind::unreachable);
             co_return nullptr;
         }
-        result = co_await send_load_probe(gateway, connection, probe);
+        result = co_await send_load_probe(gateway, server, connection);
     }
     if (!result.answered)
     {
@@ -191,18 +197,18 @@
 
 // Selects the candidate with the lowest expected cost that has capacity and is still eligible.
 // Returns the connections of the others to the pool.
-backend_selection select_best(gateway& gateway, selection_probes& probes,
+backend_selection select_best(gateway& gateway, std::vector<connected_backend>& connected,
                               const selection_criteria& criteria)
 {
     backend_selection out;
     const core::time_point now = core::boot_clock_now();
-    std::sort(probes.answered.begin(), probes.answered.end(),
+    std::sort(connected.begin(), connected.end(),
               [&](const connected_backend& a, const connected_backend& b)
               {
                   return routing::expected_cost(gateway.backends, *a.server, now) <
                          routing::expected_cost(gateway.backends, *b.server, now);
               });
-    for (connected_backend& candidate : probes.answered)
+    for (connected_backend& candidate : connected)
     {
         const bool has_capacity = routing::has_capacity(
             gateway.backends, *candidate.server, criteria.queueing, criteria.max_queue_time, now);
@@ -216,44 +222,36 @@
             gateway.backend_connections.put_back(*candidate.server, candidate.connection);
         }
     }
-    out.all_full = !out.selected && !probes.answered.empty();
+    out.all_full = !out.selected && !connected.empty();
     return out;
 }
 
-// Opens a connection to the server, or takes an idle one that was used a moment ago.
-asio::awaitable<backend_connection_pointer> connect_unprobed(gateway& gateway,
-                                                             const routing::backend_pointer& server)
+// Selects the best candidate by what is known of it. It gets the request on an idle connection that
+// was used a moment ago, or on a new one.
+asio::awaitable<backend_selection> select_unprobed(gateway& gateway,
+                                                   const selection_criteria& criteria)
 {
-    backend_connection_pointer connection = gateway.backend_connections.take_idle(
-        *server, core::boot_clock_now() - max_unprobed_idle_time);
-    if (!connection)
+    ++gateway.counters.unprobed_selections;
+    const core::time_point now = core::boot_clock_now();
+    const std::vector<routing::backend_pointer> list = routing::select_candidates(
+        gateway.backends, criteria.service, criteria.excluded, 1, now, gateway.random);
+    if (list.empty())
     {
-        connection = co_await gateway.backend_connections.connect(*server);
+        co_return backend_selection();
     }
-    if (!connection)
+    connected_backend candidate{.server = list.front()};
+    candidate.connection =
+        gateway.backend_connections.take_idle(*candidate.server, now - max_unprobed_idle_time);
+    if (!candidate.connection)
     {
-        record_failure(gateway, server, routing::failure_kind::unreachable);
+        candidate.connection = co_await connect(gateway, candidate.server);
     }
-    co_return connection;
-}
-
-// Selects the best candidate by what is known of it.
-asio::awaitable<backend_selection> select_unprobed(gateway& gateway,
-                                                   const selection_criteria& criteria)
-{
-    ++gateway.counters.unprobed_selections;
-    selection_probes selected(gateway.io);
-    const std::vector<routing::backend_pointer> list =
-        routing::select_candidates(gateway.backends, criteria.service, criteria.excluded, 1,
-                                   core::boot_clock_now(), gateway.random);
-    for (const routing::backend_pointer& server : list)
+    std::vector<connected_backend> connected;
+    if (candidate.connection)
     {
-        if (auto connection = co_await connect_unprobed(gateway, server))
-        {
-            selected.answered.push_back({.server = server, .connection = std::move(connection)});
-        }
+        connected.push_back(std::move(candidate));
     }
-    backend_selection out = select_best(gateway, selected, criteria);
+    backend_selection out = select_best(gateway, connected, criteria);
     out.candidates = list.size();
     co_return out;
 }
@@ -283,7 +281,7 @@
         }
     }
     probes->decided = true;
-    backend_selection out = select_best(gateway, *probes, criteria);
+    backend_selection out = select_best(gateway, probes->answered, criteria);
     out.candidates = probed_count;
     co_return out;
 }
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -11,6 +11,20 @@
 
 constexpr core::duration suspect_probe_timeout = std::chrono::milliseconds(100);
 
+// Returns the path on which a service's servers are probed.
+std::string health_path(const gateway& gateway, const std::string& service)
+{
+    if (gateway.configuration)
+    {
+        const auto found = gateway.configuration->services.find(service);
+        if (found != gateway.configuration->services.end())
+        {
+            return found->second->health_path;
+        }
+    }
+    return "/health";
+}
+
 // A suspect server gets requests again once it passes a probe. If its requests still fail although
 // its probes pass, it becomes suspect again after a few of them, for twice as long.
 asio::awaitable<void> probe_suspect(gateway& gateway, routing::backend_pointer server)
@@ -20,13 +34,8 @@
     {
         co_return;
     }
-    limits::on_probe_sent(gateway.probe_budget, core::boot_clock_now());
-    // A named object: GCC 12 destroys aggregate temporaries of a co_await expression twice.
-    const probe_request probe = {.server_id = server->listed.id,
-                                 .path = health_path(gateway, server->listed.service),
-                                 .timeout = suspect_probe_timeout,
-                                 .purpose = probe_purpose::trial};
-    const probe_result result = co_await gateway.backend_connections.probe(connection, probe);
+    const probe_result result = co_await send_probe(gateway, *server, connection,
+                                                    probe_purpose::trial, suspect_probe_timeout);
     if (!result.answered || !result.is_expected_server || !result.healthy)
     {
         co_return;
@@ -248,17 +257,16 @@
     return latency;
 }
 
-std::string health_path(const gateway& gateway, const std::string& service)
+asio::awaitable<probe_result> send_probe(gateway& gateway, const routing::backend& server,
+                                         backend_connection_pointer connection,
+                                         probe_purpose purpose, core::duration timeout)
 {
-    if (gateway.configuration)
-    {
-        const auto found = gateway.configuration->services.find(service);
-        if (found != gateway.configuration->services.end())
-        {
-            return found->second->health_path;
-        }
-    }
-    return "/health";
+    limits::on_probe_sent(gateway.probe_budget, core::boot_clock_now());
+    return gateway.backend_connections.probe(std::move(connection),
+                                             {.server_id = server.listed.id,
+                                              .path = health_path(gateway, server.listed.service),
+                                              .timeout = timeout,
+                                              .purpose = purpose});
 }
 
 } // namespace zinniaferry::net
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -104,7 +104,9 @@
 std::shared_ptr<routing::route_latency> route_latency_of(gateway& gateway,
                                                          const config::route& route);
 
-/// Returns the path on which a service's servers are probed.
-std::string health_path(const gateway& gateway, const std::string& service);
+/// Sends a probe on the server's connection, and takes it from the probe budget.
+asio::awaitable<probe_result> send_probe(gateway& gateway, const routing::backend& server,
+                                         backend_connection_pointer connection,
+                                         probe_purpose purpose, core::duration timeout);
 
 } // namespace zinniaferry::net
