Move the wait for grants out of hub_links, and the framing into hub_messages

The test of hub_links had written the framing of messages again and calls fleet::encode_frame now. primary_hub returns early instead of nesting.

--- a/src/fleet/hub_choice.cpp
+++ b/src/fleet/hub_choice.cpp
@@ -250,14 +250,17 @@
                     [&](const hub_candidate& candidate)
                     {
                         const bool own = candidate.address == choice.own_address;
-                        if (own || is_reachable(candidate, now))
+                        if (!own && !is_reachable(candidate, now))
                         {
-                            first = first.value_or(candidate.address);
-                            first_not_slow = own || now >= candidate.slow_until
-                                                 ? std::optional(candidate.address)
-                                                 : std::nullopt;
+                            return true;
                         }
-                        return !first_not_slow.has_value();
+                        first = first.value_or(candidate.address);
+                        if (now < candidate.slow_until)
+                        {
+                            return true;
+                        }
+                        first_not_slow = candidate.address;
+                        return false;
                     });
     return first_not_slow ? first_not_slow : first;
 }
--- a/src/fleet/hub_messages.cpp
+++ b/src/fleet/hub_messages.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/hub.capnp.h"
 
+#include <boost/endian/conversion.hpp>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
 #include <kj/exception.h>
@@ -182,6 +183,15 @@
     return {bytes.asChars().begin(), bytes.size()};
 }
 
+std::string encode_frame(const hub_message& message)
+{
+    const std::string body = encode(message);
+    std::string frame(frame_length_bytes, '\0');
+    boost::endian::store_big_u32(reinterpret_cast<unsigned char*>(frame.data()),
+                                 static_cast<std::uint32_t>(body.size()));
+    return frame + body;
+}
+
 core::result<hub_message> decode_hub_message(std::string_view bytes)
 {
     try
--- a/src/fleet/hub_messages.hpp
+++ b/src/fleet/hub_messages.hpp
@@ -92,6 +92,12 @@
 /// Returns the message in packed Cap'n Proto encoding. Thread safe.
 std::string encode(const hub_message& message);
 
+/// Size of the length field in front of each message: its size in bytes, big-endian.
+inline constexpr std::size_t frame_length_bytes = 4;
+
+/// Returns the encoded message with its length field. Thread safe.
+std::string encode_frame(const hub_message& message);
+
 /// Decodes a message. Error: peer_message_error for malformed bytes. Thread safe.
 core::result<hub_message> decode_hub_message(std::string_view bytes);
 
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -173,11 +173,11 @@
             .take_from_pool = [this](const std::string& account)
             { return limits::take_from_pool(gateway_.accounts, account, core::boot_clock_now()); },
             .on_late_grant =
-                [this](const std::string& account, const limits::grant& grant,
-                       core::time_point asked_at)
+                [this](const late_grant& late)
             {
                 // The grant expires as if it had arrived in time.
-                limits::add_granted(gateway_.accounts, account, grant.requests, asked_at);
+                limits::add_granted(gateway_.accounts, late.account, late.granted.requests,
+                                    late.asked_at);
             },
             .selection_count =
                 [this]
--- a/src/net/hub_links.cpp
+++ b/src/net/hub_links.cpp
@@ -29,12 +29,6 @@
 constexpr core::duration fast_hub_check_interval = std::chrono::milliseconds(50);
 constexpr core::duration connect_timeout = std::chrono::milliseconds(400);
 constexpr core::duration write_timeout = std::chrono::seconds(2);
-/// A request waits no longer for its account's grant; a hub in the region answers in a few ms.
-constexpr core::duration grant_timeout = std::chrono::milliseconds(20);
-/// A grant that arrives later is void.
-constexpr core::duration late_grant_retention = std::chrono::seconds(1);
-/// Size of the length field in front of each frame.
-constexpr std::size_t frame_length_bytes = 4;
 /// A peer that reads so slowly that more frames are waiting is disconnected.
 constexpr std::size_t max_outbox_frames = 1024;
 /// Lower bound on the fleet's size while some members may not have subscribed yet.
@@ -45,7 +39,7 @@
 hub_links::hub_links(asio::io_context& io, fleet::member self, std::uint64_t incarnation,
                      fleet::replica& replica, event_log& log, hub_link_callbacks callbacks)
     : io_(io), incarnation_(incarnation), replica_(replica), log_(log),
-      callbacks_(std::move(callbacks))
+      callbacks_(std::move(callbacks)), grant_requests_(io)
 {
     choice_.own_address = self.address;
     registry_.self = std::move(self);
@@ -85,11 +79,7 @@
 
 void hub_links::send(link& to, const fleet::hub_message& message)
 {
-    const std::string body = fleet::encode(message);
-    std::string frame(frame_length_bytes, '\0');
-    boost::endian::store_big_u32(reinterpret_cast<unsigned char*>(frame.data()),
-                                 static_cast<std::uint32_t>(body.size()));
-    frame += body;
+    std::string frame = fleet::encode_frame(message);
     counters_.bytes_out += frame.size();
     to.outbox.push_back(std::move(frame));
     if (to.outbox.size() > max_outbox_frames)
@@ -123,7 +113,7 @@
 
 asio::awaitable<std::optional<fleet::hub_message>> hub_links::receive(link& from)
 {
-    std::array<unsigned char, frame_length_bytes> length{};
+    std::array<unsigned char, fleet::frame_length_bytes> length{};
     error_code error;
     co_await asio::async_read(from.socket, asio::buffer(length), redirect_error_to(error));
     const std::uint32_t size = boost::endian::load_big_u32(length.data());
@@ -140,7 +130,7 @@
     }
     std::string body(size, '\0');
     co_await asio::async_read(from.socket, asio::buffer(body), redirect_error_to(error));
-    counters_.bytes_in += frame_length_bytes + body.size();
+    counters_.bytes_in += fleet::frame_length_bytes + body.size();
     if (error)
     {
         co_return std::nullopt;
@@ -301,7 +291,7 @@
             primary_hub_ = primary;
             report_at = now + report_interval;
             fleet::remove_expired_members(registry_, now);
-            remove_expired_requests(now);
+            grant_requests_.remove_expired(now);
             if (now - selections_counted_at_ >= report_interval)
             {
                 update_selection_rate(now);
@@ -394,7 +384,10 @@
     }
     else if (const auto* grant = std::get_if<fleet::grant_message>(&message))
     {
-        handle_grant(*grant);
+        if (const auto late = grant_requests_.on_grant(*grant))
+        {
+            callbacks_.on_late_grant(*late);
+        }
     }
 }
 
@@ -410,32 +403,6 @@
     callbacks_.on_changes(changes);
 }
 
-void hub_links::handle_grant(const fleet::grant_message& message)
-{
-    const auto found = pending_requests_.find(message.number);
-    if (found == pending_requests_.end())
-    {
-        return;
-    }
-    const std::shared_ptr<pending_request> request = found->second;
-    pending_requests_.erase(found);
-    const limits::grant grant = {.requests = message.requests, .retry_after = message.retry_after};
-    if (request->timed_out)
-    {
-        callbacks_.on_late_grant(request->account, grant, request->asked_at);
-        return;
-    }
-    request->grant = grant;
-    request->answered.cancel();
-}
-
-void hub_links::remove_expired_requests(core::time_point now)
-{
-    std::erase_if(
-        pending_requests_, [&](const auto& entry)
-        { return entry.second->timed_out && now - entry.second->asked_at > late_grant_retention; });
-}
-
 asio::awaitable<std::optional<limits::grant>> hub_links::request_grant(std::string account)
 {
     if (primary_hub_ == choice_.own_address)
@@ -448,24 +415,19 @@
         co_return std::nullopt;
     }
     const std::string address = hub->first;
-    const auto request = std::make_shared<pending_request>(io_, account);
-    const std::uint64_t number = next_request_number_++;
-    pending_requests_.emplace(number, request);
+    const std::uint64_t number = grant_requests_.add(account);
     send(*hub->second, fleet::ask_message{.number = number, .account = std::move(account)});
-    request->answered.expires_after(grant_timeout);
-    error_code ignored;
-    co_await request->answered.async_wait(redirect_error_to(ignored));
-    if (request->grant)
+    const auto grant = co_await grant_requests_.wait(number);
+    if (grant)
     {
         fleet::on_grant_in_time(choice_, address);
     }
     else
     {
-        request->timed_out = true;
         ++counters_.grant_timeouts;
         fleet::on_grant_late(choice_, address, core::boot_clock_now());
     }
-    co_return request->grant;
+    co_return grant;
 }
 
 // Combines the reports of the hubs with this daemon's own registry: the union of their members, and
--- a/src/net/hub_links.hpp
+++ b/src/net/hub_links.hpp
@@ -7,6 +7,7 @@
 #include "limits/account_pools.hpp"
 #include "net/deadline_timer.hpp"
 #include "net/event_log.hpp"
+#include "net/grant_requests.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -45,10 +46,7 @@
     std::function<void(const fleet_view&)> on_fleet_view;
     /// Takes requests of an account from this daemon's pool, for a subscriber or for this daemon.
     std::function<limits::grant(const std::string&)> take_from_pool;
-    /// A grant of the account arrived after request_grant had stopped waiting for it. The hub has
-    /// taken its requests from the pool.
-    std::function<void(const std::string& account, const limits::grant&, core::time_point asked_at)>
-        on_late_grant;
+    std::function<void(const late_grant&)> on_late_grant;
     /// Returns the number of selections of a backend server since the start.
     std::function<std::uint64_t()> selection_count;
 };
@@ -120,21 +118,6 @@
     };
     using link_pointer = std::shared_ptr<link>;
 
-    /// A request for a grant that the hub has not answered.
-    struct pending_request
-    {
-        pending_request(asio::io_context& io, std::string for_account)
-            : account(std::move(for_account)), asked_at(core::boot_clock_now()), answered(io)
-        {
-        }
-
-        std::string account;
-        core::time_point asked_at;
-        bool timed_out = false;
-        asio::steady_timer answered; ///< Cancelled when the grant arrives.
-        std::optional<limits::grant> grant;
-    };
-
     asio::awaitable<void> write_frames(link_pointer to);
     asio::awaitable<void> serve_subscriber(link_pointer subscriber);
     asio::awaitable<void> send_updates(link_pointer subscriber);
@@ -145,11 +128,9 @@
     asio::awaitable<void> receive_from_hub(std::string address, link_pointer hub);
     void send_reports();
     fleet::report_message make_report(const std::string& hub_address) const;
-    void remove_expired_requests(core::time_point now);
     void update_selection_rate(core::time_point now);
     void handle_message(const std::string& address, link& hub, const fleet::hub_message& message);
     void handle_update(const std::string& address, const fleet::update_message& update);
-    void handle_grant(const fleet::grant_message& message);
     void report_fleet_view();
     void send(link& to, const fleet::hub_message& message);
     asio::awaitable<std::optional<fleet::hub_message>> receive(link& from);
@@ -166,9 +147,7 @@
     fleet::member_cache member_cache_;
     std::unordered_set<link_pointer> subscribers_;
     std::unordered_map<std::string, link_pointer> hubs_; ///< By address.
-    /// By number of the ask_message. Those that timed out stay for a second.
-    std::unordered_map<std::uint64_t, std::shared_ptr<pending_request>> pending_requests_;
-    std::uint64_t next_request_number_ = 1;
+    grant_requests grant_requests_;
     std::optional<std::string> primary_hub_; ///< Address; may be this daemon's own.
     bool received_update_ = false;
     std::uint64_t selections_counted_ = 0; ///< At `selections_counted_at_`.
--- a/test/correctness/net/hub_links_test.cpp
+++ b/test/correctness/net/hub_links_test.cpp
@@ -40,7 +40,7 @@
         asio::ip::tcp::socket socket = co_await acceptor_.async_accept(asio::use_awaitable);
         while (true)
         {
-            std::array<unsigned char, 4> length{};
+            std::array<unsigned char, fleet::frame_length_bytes> length{};
             co_await asio::async_read(socket, asio::buffer(length), asio::use_awaitable);
             std::string body(boost::endian::load_big_u32(length.data()), '\0');
             co_await asio::async_read(socket, asio::buffer(body), asio::use_awaitable);
@@ -57,12 +57,8 @@
 
     static asio::awaitable<void> answer(asio::ip::tcp::socket& socket, std::uint64_t number)
     {
-        const std::string body =
-            fleet::encode(fleet::grant_message{.number = number, .requests = 3});
-        std::string frame(4, '\0');
-        boost::endian::store_big_u32(reinterpret_cast<unsigned char*>(frame.data()),
-                                     static_cast<std::uint32_t>(body.size()));
-        frame += body;
+        const std::string frame =
+            fleet::encode_frame(fleet::grant_message{.number = number, .requests = 3});
         co_await asio::async_write(socket, asio::buffer(frame), asio::use_awaitable);
     }
 
@@ -79,11 +75,10 @@
         {
             latest_view = view;
         };
-        callbacks.on_late_grant =
-            [this](const std::string& account, const limits::grant& grant, core::time_point)
+        callbacks.on_late_grant = [this](const late_grant& late)
         {
-            late_account = account;
-            late_requests += grant.requests;
+            late_account = late.account;
+            late_requests += late.granted.requests;
         };
         callbacks.selection_count = []
         {
