Keep the limit of unparsed bytes and the endless sender once each

The load generator and the stand-ins had their own copies of net::max_unparsed_bytes, and endless_bytes_test sent without end in a loop of its own beside that of endless_peer. Assertions and values are the same.

--- a/src/load/client.cpp
+++ b/src/load/client.cpp
@@ -1,6 +1,7 @@
 #include "load/client.hpp"
 
 #include "net/await_error.hpp"
+#include "net/message_rules.hpp"
 #include "stand_in/answer.hpp"
 
 #include <boost/asio/this_coro.hpp>
@@ -21,8 +22,6 @@
 using asio::ip::tcp;
 
 constexpr std::uint64_t max_response_bytes = std::uint64_t{16} << 20U;
-/// Limit for bytes that are read and not parsed, such as chunk extensions.
-constexpr std::size_t max_unparsed_bytes = 64UL * 1024UL;
 using net::tuple_awaitable;
 
 // An idle connection must have nothing to read: any bytes would belong to no request, and an end
@@ -129,7 +128,7 @@
     {
         co_return make_failure(write_error, true);
     }
-    beast::flat_buffer buffer(max_unparsed_bytes);
+    beast::flat_buffer buffer(net::max_unparsed_bytes);
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_response_bytes);
     const auto [read_error, read] =
--- a/src/stand_in/http_server.cpp
+++ b/src/stand_in/http_server.cpp
@@ -1,6 +1,7 @@
 #include "stand_in/http_server.hpp"
 
 #include "net/await_error.hpp"
+#include "net/message_rules.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -25,8 +26,6 @@
 using asio::ip::tcp;
 
 constexpr std::uint64_t max_body_bytes = std::uint64_t{4} << 20U;
-/// Limit for bytes that are read and not parsed, such as chunk extensions.
-constexpr std::size_t max_unparsed_bytes = 64UL * 1024UL;
 constexpr auto accept_retry_delay = std::chrono::milliseconds(20);
 using net::tuple_awaitable;
 
@@ -133,7 +132,7 @@
     const socket_registration entry(connections, socket);
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    boost::beast::flat_buffer buffer(max_unparsed_bytes);
+    boost::beast::flat_buffer buffer(net::max_unparsed_bytes);
     bool open = true;
     while (open)
     {
--- a/test/error/net/endless_bytes_test.cpp
+++ b/test/error/net/endless_bytes_test.cpp
@@ -56,7 +56,7 @@
 
     asio::io_context io;
     http_profile profile;
-    endless_peer peer{GetParam().prefix, GetParam().repeated};
+    endless_peer peer{GetParam()};
 };
 
 TEST_P(endless_response, to_a_request_ends_the_connection)
@@ -115,27 +115,7 @@
                          testing::ValuesIn(test_support::endless_responses()),
                          [](const auto& info) { return info.param.name; });
 
-// Sends the prefix and then the same bytes until the listener closes. Returns the bytes sent.
-std::size_t send_without_end(const asio::ip::tcp::endpoint& to, const endless_message& message)
-{
-    asio::io_context io;
-    asio::ip::tcp::socket socket(io);
-    socket.connect(to);
-    boost::system::error_code error;
-    std::string block;
-    while (block.size() < 64UL * 1024UL)
-    {
-        block += message.repeated;
-    }
-    std::size_t sent = asio::write(socket, asio::buffer(message.prefix), error);
-    while (!error && sent < endless_peer::max_bytes)
-    {
-        sent += asio::write(socket, asio::buffer(block), error);
-    }
-    return sent;
-}
-
-// The same for a caller. The test's configuration has caller limits of a few kilobytes.
+// The same for a caller's requests.
 TEST(endless_request, ends_the_connection)
 {
     const std::string chunked = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -150,7 +130,10 @@
     for (const endless_message& request : requests)
     {
         SCOPED_TRACE(request.name);
-        EXPECT_LE(send_without_end(front.address(), request), max_unbuffered_bytes);
+        asio::io_context io;
+        asio::ip::tcp::socket socket(io);
+        socket.connect(front.address());
+        EXPECT_LE(test_support::send_endless(socket, request), max_unbuffered_bytes);
     }
 }
 
--- a/test/support/endless_peer.hpp
+++ b/test/support/endless_peer.hpp
@@ -1,5 +1,4 @@
-/// A loopback peer that accepts one connection and sends a prefix and then the same bytes without
-/// end, until the other side closes or `max_bytes` are sent.
+/// Messages without an end, and a peer that sends one.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -15,16 +14,48 @@
 namespace zinniaferry::test_support
 {
 
+/// Bytes in which a message has no end.
+struct endless_message
+{
+    std::string name;
+    std::string prefix;
+    std::string repeated;
+};
+
+inline void PrintTo(const endless_message& message, std::ostream* out)
+{
+    *out << message.name;
+}
+
+/// Far above every limit of a reader, and more than the socket buffers hold.
+inline constexpr std::size_t max_endless_bytes = std::size_t{96} << 20U;
+
+/// Sends the message until the other side closes or `max_endless_bytes` are sent. Returns the
+/// number of bytes sent.
+inline std::size_t send_endless(boost::asio::ip::tcp::socket& socket,
+                                const endless_message& message)
+{
+    std::string block;
+    while (block.size() < 64UL * 1024UL)
+    {
+        block += message.repeated;
+    }
+    boost::system::error_code error;
+    std::size_t sent = boost::asio::write(socket, boost::asio::buffer(message.prefix), error);
+    while (!error && sent < max_endless_bytes)
+    {
+        sent += boost::asio::write(socket, boost::asio::buffer(block), error);
+    }
+    return sent;
+}
+
+/// A loopback peer that accepts one connection and sends a message without an end on it.
 class endless_peer
 {
 public:
-    /// Far above every limit of a reader, and more than the socket buffers hold.
-    static constexpr std::size_t max_bytes = std::size_t{96} << 20U;
-
-    endless_peer(std::string prefix, std::string repeated)
+    explicit endless_peer(endless_message message)
         : acceptor_(io_, {boost::asio::ip::address_v4::loopback(), 0}),
-          thread_([this, prefix = std::move(prefix), repeated = std::move(repeated)]
-                  { serve(prefix, repeated); })
+          thread_([this, message = std::move(message)] { serve(message); })
     {
     }
     ~endless_peer() { stop(); }
@@ -54,20 +85,11 @@
         }
     }
 
-    void serve(const std::string& prefix, const std::string& repeated)
+    void serve(const endless_message& message)
     {
         boost::system::error_code error;
         boost::asio::ip::tcp::socket socket = acceptor_.accept(error);
-        std::string block;
-        while (block.size() < 64UL * 1024UL)
-        {
-            block += repeated;
-        }
-        sent_ = error ? 0 : boost::asio::write(socket, boost::asio::buffer(prefix), error);
-        while (!error && sent_ < max_bytes)
-        {
-            sent_ += boost::asio::write(socket, boost::asio::buffer(block), error);
-        }
+        sent_ = error ? 0 : send_endless(socket, message);
     }
 
     boost::asio::io_context io_;
@@ -76,19 +98,6 @@
     std::thread thread_;
 };
 
-/// Bytes in which a message has no end.
-struct endless_message
-{
-    std::string name;
-    std::string prefix;
-    std::string repeated;
-};
-
-inline void PrintTo(const endless_message& message, std::ostream* out)
-{
-    *out << message.name;
-}
-
 /// Responses without an end in each part of a message.
 inline std::vector<endless_message> endless_responses()
 {
