Keep newer grants when a late one arrives

Cause: add_granted set the expiry of all held grants from the request of the last one, so a late grant, or a late refusal, voided newer grants, and could revive ones that had expired since it was asked for. add_granted takes both times now and drops what is void or older than the grants held; each grant still expires a second after it was asked for, so the bound on an account's window is as before.

--- a/src/limits/account_pools.cpp
+++ b/src/limits/account_pools.cpp
@@ -197,19 +197,25 @@
 }
 
 void add_granted(account_pools& pools, const std::string& account, std::uint32_t requests,
-                 core::time_point now)
+                 core::time_point asked_at, core::time_point now)
 {
+    const core::time_point expires_at = asked_at + grant_lifetime;
     account_grants& grants = pools.grants[account];
     const std::uint32_t unspent = now < grants.expires_at ? grants.remaining : 0;
+    const bool holds_newer = unspent > 0 && expires_at < grants.expires_at;
+    if (requests == 0 || now >= expires_at || holds_newer)
+    {
+        return;
+    }
     grants = {.remaining = std::min(unspent + requests, max_grant_requests),
-              .expires_at = now + grant_lifetime};
+              .expires_at = expires_at};
 }
 
 void refund(account_pools& pools, const std::string& account, core::time_point now)
 {
     if (is_limited(pools, account))
     {
-        add_granted(pools, account, 1, now);
+        add_granted(pools, account, 1, now, now);
     }
 }
 
--- a/src/limits/account_pools.hpp
+++ b/src/limits/account_pools.hpp
@@ -131,9 +131,10 @@
 /// Takes one request from the grants received before. Returns false when there is none.
 bool take_granted(account_pools& pools, const std::string& account, core::time_point now);
 
-/// Adds requests that the hub granted.
+/// Adds requests that the hub granted when it was asked at `asked_at`. They are dropped when they
+/// are void by now, or would be void before the ones that the daemon holds.
 void add_granted(account_pools& pools, const std::string& account, std::uint32_t requests,
-                 core::time_point now);
+                 core::time_point asked_at, core::time_point now);
 
 /// Returns a request that did not run to the grants.
 void refund(account_pools& pools, const std::string& account, core::time_point now);
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -177,7 +177,7 @@
             {
                 // The grant expires as if it had arrived in time.
                 limits::add_granted(gateway_.accounts, late.account, late.granted.requests,
-                                    late.asked_at);
+                                    late.asked_at, core::boot_clock_now());
             },
             .selection_count =
                 [this]
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -226,7 +226,7 @@
     }
     if (granted->requests > 1)
     {
-        limits::add_granted(pools, account, granted->requests - 1, now);
+        limits::add_granted(pools, account, granted->requests - 1, now, now);
     }
     co_return limits::grant{.requests = std::min(granted->requests, 1U),
                             .retry_after = granted->retry_after,
--- a/test/correctness/limits/account_pools_test.cpp
+++ b/test/correctness/limits/account_pools_test.cpp
@@ -73,7 +73,7 @@
                                              : take_from_pool(members[hub[member]], "a", now);
         if (answer.requests > 1)
         {
-            add_granted(own, "a", answer.requests - 1, now);
+            add_granted(own, "a", answer.requests - 1, now, now);
         }
         return answer.requests > 0;
     }
@@ -290,9 +290,26 @@
     refund(pools, "a", start);
     EXPECT_TRUE(take_granted(pools, "a", start));
     EXPECT_FALSE(take_granted(pools, "a", start));
-    add_granted(pools, "a", 3, start);
+    add_granted(pools, "a", 3, start, start);
     EXPECT_FALSE(take_granted(pools, "a", start + 2s)) << "unused grants expire";
 }
 
+// Guards against a grant or a refusal that arrives late and voids the newer grants that the daemon
+// holds, although the hub has taken those from the pool.
+TEST(account_pools, late_grants_do_not_void_newer_ones)
+{
+    account_pools pools;
+    pools.limits["school"] = {.rate = 10.0, .burst = 10.0};
+    const core::time_point now = core::time_point(1000s);
+    add_granted(pools, "school", 2, now, now);
+    add_granted(pools, "school", 0, now - 900ms, now);
+    add_granted(pools, "school", 3, now - 1500ms, now);
+    EXPECT_TRUE(take_granted(pools, "school", now + 500ms));
+    EXPECT_TRUE(take_granted(pools, "school", now + 500ms));
+    EXPECT_FALSE(take_granted(pools, "school", now + 500ms));
+    add_granted(pools, "school", 1, now - 200ms, now + 500ms);
+    EXPECT_TRUE(take_granted(pools, "school", now + 500ms)) << "no newer grant is left";
+}
+
 } // namespace
 } // namespace zinniaferry::limits
