Log which configuration decided, how old it was, and how late hubs' updates come

The lines of 404 and 401 said version 0 and named neither host nor path, so nobody could tell from them whether the daemon was behind. They now have the version that was looked up, host and path (without the query), and the time for which a newer version may have been published unnoticed; rate_decided_by is left out where no limit applies.

Nothing said how long an update of a hub was on its way: the age in it is set when it is queued. Subscribers number their reports and hubs repeat the latest number, so that the delay is measured without comparing clocks. No decision uses the delay yet.

--- a/src/fleet/hub.capnp
+++ b/src/fleet/hub.capnp
@@ -29,9 +29,10 @@
 
 struct Report {
     # Subscriber to hub, periodically: whether this hub grants the subscriber's account requests, and how many backend
-    # servers the subscriber selects in a second.
+    # servers the subscriber selects in a second. The hub repeats the latest number in its updates.
     primary @0 :Bool;
     selectionRate @1 :Float32;
+    number @2 :UInt64;
 }
 
 struct Ask {
@@ -53,6 +54,7 @@
     complete @1 :Bool;
     ageUs @2 :UInt64;
     changes @3 :List(Change);
+    lastReport @4 :UInt64;  # Number of the subscriber's latest report; 0 before the first.
 }
 
 struct Fleet {
--- a/src/fleet/hub.capnp.h
+++ b/src/fleet/hub.capnp.h
@@ -86,7 +86,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e00f6817d1c01cc7, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(e00f6817d1c01cc7, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -131,7 +131,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(91e1793972b28854, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(91e1793972b28854, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -492,6 +492,8 @@
 
   inline float getSelectionRate() const;
 
+  inline  ::uint64_t getNumber() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -526,6 +528,9 @@
   inline float getSelectionRate();
   inline void setSelectionRate(float value);
 
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -750,6 +755,8 @@
   inline bool hasChanges() const;
   inline  ::capnp::List< ::zinniaferry::fleet::wire::Change,  ::capnp::Kind::STRUCT>::Reader getChanges() const;
 
+  inline  ::uint64_t getLastReport() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -794,6 +801,9 @@
   inline void adoptChanges(::capnp::Orphan< ::capnp::List< ::zinniaferry::fleet::wire::Change,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::zinniaferry::fleet::wire::Change,  ::capnp::Kind::STRUCT>> disownChanges();
 
+  inline  ::uint64_t getLastReport();
+  inline void setLastReport( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1351,6 +1361,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Report::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Report::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Ask::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1517,6 +1541,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Update::Reader::getLastReport() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Update::Builder::getLastReport() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Update::Builder::setLastReport( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Fleet::Reader::getMembersKnown() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/fleet/hub_messages.cpp
+++ b/src/fleet/hub_messages.cpp
@@ -42,6 +42,7 @@
         auto report = out.initReport();
         report.setPrimary(value.primary);
         report.setSelectionRate(value.selection_rate);
+        report.setNumber(value.number);
     }
     void operator()(const update_message& value)
     {
@@ -50,6 +51,7 @@
         update.setComplete(value.complete);
         update.setAgeUs(static_cast<std::uint64_t>(
             std::chrono::duration_cast<std::chrono::microseconds>(value.age).count()));
+        update.setLastReport(value.last_report);
         auto changes = update.initChanges(static_cast<unsigned>(value.changes.size()));
         for (unsigned i = 0; i < changes.size(); ++i)
         {
@@ -107,6 +109,7 @@
     update_message out;
     out.revision = update.getRevision();
     out.complete = update.getComplete();
+    out.last_report = update.getLastReport();
     out.age = std::chrono::microseconds(std::min(update.getAgeUs(), max_age_us));
     for (const auto& change : update.getChanges())
     {
@@ -157,7 +160,8 @@
     }
     case wire::HubMessage::REPORT:
         return report_message{.primary = message.getReport().getPrimary(),
-                              .selection_rate = read_rate(message.getReport().getSelectionRate())};
+                              .selection_rate = read_rate(message.getReport().getSelectionRate()),
+                              .number = message.getReport().getNumber()};
     case wire::HubMessage::UPDATE:
         return read_update(message.getUpdate());
     case wire::HubMessage::FLEET:
--- a/src/fleet/hub_messages.hpp
+++ b/src/fleet/hub_messages.hpp
@@ -40,6 +40,7 @@
 {
     bool primary = false;       ///< The subscriber asks this hub for account grants.
     float selection_rate = 0.0; ///< Selections/s of a backend server by the subscriber.
+    std::uint64_t number = 0;   ///< From 1, in the order of sending; see report_echoes.
 
     bool operator==(const report_message&) const = default;
 };
@@ -66,9 +67,10 @@
 /// Hub to subscriber: sent at each change, and at short intervals without one.
 struct update_message
 {
-    std::uint64_t revision = 0; ///< Of the hub's replica.
-    bool complete = false;      ///< `changes` is a snapshot of all entries.
-    core::duration age{};       ///< The hub knew all changes made until this long ago.
+    std::uint64_t revision = 0;    ///< Of the hub's replica.
+    bool complete = false;         ///< `changes` is a snapshot of all entries.
+    core::duration age{};          ///< The hub knew all changes made until this long ago.
+    std::uint64_t last_report = 0; ///< Number of the subscriber's latest report; 0 before it.
     std::vector<entry_change> changes;
 
     bool operator==(const update_message&) const = default;
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -205,6 +205,7 @@
     // Applies changed entries to the gateway, and forwards them to the subscribers.
     void apply_changes(const std::vector<fleet::entry_change>& changes)
     {
+        gateway_.configuration_current_as_of = replica_.current_as_of;
         for (const fleet::entry_change& change : changes)
         {
             apply_change(change);
@@ -427,6 +428,7 @@
                                         .replica_revision = replica_.revision,
                                         .peer_bytes_in = links_.counters().bytes_in,
                                         .peer_bytes_out = links_.counters().bytes_out,
+                                        .peer_snapshots_out = links_.counters().snapshots_out,
                                         .grant_timeouts = links_.counters().grant_timeouts});
     }
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
+
 namespace zinniaferry::net
 {
 
@@ -140,6 +142,11 @@
     return true;
 }
 
+core::duration configuration_age(const gateway& gateway, core::time_point now)
+{
+    return std::max(core::duration::zero(), now - gateway.configuration_current_as_of);
+}
+
 void apply_server_listing(gateway& gateway, const routing::listed_backend& server,
                           core::time_point now)
 {
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -55,6 +55,8 @@
     const gateway_options options;
     std::shared_ptr<const config::configuration_index>
         configuration; ///< In force; null before the first.
+    /// All versions that were published before this time are known.
+    core::time_point configuration_current_as_of;
     routing::backend_set backends;
     limits::account_pools accounts;
     /// Asks the fleet's hub for a grant for an account; returns nothing if no hub responds in time.
@@ -79,6 +81,9 @@
 bool apply_configuration(gateway& gateway, std::shared_ptr<const config::configuration> config,
                          core::time_point now);
 
+/// Returns for how long a newer configuration may have been published without this daemon knowing.
+core::duration configuration_age(const gateway& gateway, core::time_point now);
+
 /// Adds or updates a backend server as listed by the platform or the configuration.
 void apply_server_listing(gateway& gateway, const routing::listed_backend& server,
                           core::time_point now);
--- a/src/net/gateway_metrics.cpp
+++ b/src/net/gateway_metrics.cpp
@@ -69,6 +69,8 @@
           number(daemon.peer_bytes_in));
     print(out, "counter", "zinnia_peer_bytes_sent_total", "To other daemons.",
           number(daemon.peer_bytes_out));
+    print(out, "counter", "zinnia_peer_snapshots_sent_total", "Of all entries, to other daemons.",
+          number(daemon.peer_snapshots_out));
     print(out, "counter", "zinnia_grant_timeouts_total", "Grants that the hub sent late or never.",
           number(daemon.grant_timeouts));
     print(out, "counter", "zinnia_log_lines_left_out_total", "Log lines beyond the bound.",
--- a/src/net/gateway_metrics.hpp
+++ b/src/net/gateway_metrics.hpp
@@ -14,9 +14,10 @@
     std::size_t caller_connections = 0; ///< Open now.
     std::uint64_t platform_calls = 0;
     std::uint64_t replica_revision = 0;
-    std::uint64_t peer_bytes_in = 0;  ///< Received from other daemons.
-    std::uint64_t peer_bytes_out = 0; ///< Sent to other daemons.
-    std::uint64_t grant_timeouts = 0; ///< Grants that the primary hub did not send in time.
+    std::uint64_t peer_bytes_in = 0;      ///< Received from other daemons.
+    std::uint64_t peer_bytes_out = 0;     ///< Sent to other daemons.
+    std::uint64_t peer_snapshots_out = 0; ///< Snapshots of all entries sent to other daemons.
+    std::uint64_t grant_timeouts = 0;     ///< Grants that the primary hub did not send in time.
 };
 
 /// Returns the body of `/metrics`. Thread safety: the gateway's thread only.
--- a/src/net/hub_links.cpp
+++ b/src/net/hub_links.cpp
@@ -5,12 +5,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/endian/conversion.hpp>
 
 #include <algorithm>
-#include <array>
 
 namespace zinniaferry::net
 {
@@ -28,9 +24,8 @@
 /// The same while no hub is reachable.
 constexpr core::duration fast_hub_check_interval = std::chrono::milliseconds(50);
 constexpr core::duration connect_timeout = std::chrono::milliseconds(400);
-constexpr core::duration write_timeout = std::chrono::seconds(2);
-/// A peer that reads so slowly that more frames are waiting is disconnected.
-constexpr std::size_t max_outbox_frames = 1024;
+/// An update with a longer delay is logged.
+constexpr core::duration late_update_delay = std::chrono::milliseconds(500);
 /// Lower bound on the fleet's size while some members may not have subscribed yet.
 constexpr std::size_t min_assumed_members = 20;
 
@@ -60,9 +55,7 @@
 
 void hub_links::close(link& connection)
 {
-    connection.closed = true;
-    error_code ignored;
-    connection.socket.close(ignored);
+    close_link(connection);
     connection.notification.cancel();
 }
 
@@ -77,80 +70,24 @@
     connection.notification_pending = false;
 }
 
-void hub_links::send(link& to, const fleet::hub_message& message)
+std::size_t hub_links::send(link& to, const fleet::hub_message& message)
 {
-    std::string frame = fleet::encode_frame(message);
-    counters_.bytes_out += frame.size();
-    to.outbox.push_back(std::move(frame));
-    if (to.outbox.size() > max_outbox_frames)
-    {
-        close(to);
-    }
-    to.outbox_filled.cancel();
-}
-
-// Writes the frames in the outbox. It is the only writer of the connection.
-asio::awaitable<void> hub_links::write_frames(link_pointer to)
-{
-    error_code error;
-    while (!to->closed && !error)
-    {
-        if (to->outbox.empty())
-        {
-            to->outbox_filled.expires_at(asio::steady_timer::time_point::max());
-            error_code woken;
-            co_await to->outbox_filled.async_wait(redirect_error_to(woken));
-            continue;
-        }
-        const std::string frame = std::move(to->outbox.front());
-        to->outbox.pop_front();
-        to->write_timer.expires_after(write_timeout);
-        co_await asio::async_write(to->socket, asio::buffer(frame), redirect_error_to(error));
-        to->write_timer.clear();
-    }
-    close(*to);
+    const auto frame = std::make_shared<const std::string>(fleet::encode_frame(message));
+    const std::size_t size = frame->size();
+    counters_.bytes_out += size;
+    queue_frame(to, frame);
+    return size;
 }
 
 asio::awaitable<std::optional<fleet::hub_message>> hub_links::receive(link& from)
 {
-    std::array<unsigned char, fleet::frame_length_bytes> length{};
-    error_code error;
-    co_await asio::async_read(from.socket, asio::buffer(length), redirect_error_to(error));
-    const std::uint32_t size = boost::endian::load_big_u32(length.data());
-    if (error)
-    {
-        co_return std::nullopt;
-    }
-    if (size > fleet::max_hub_message_bytes)
+    auto received = co_await receive_message(from, log_);
+    if (!received)
     {
-        const core::peer_message_error refused = {core::peer_message_error::reason::too_large,
-                                                  size};
-        log_.write("peers", "refused", {{"why", core::to_string(refused)}});
         co_return std::nullopt;
     }
-    std::string body(size, '\0');
-    co_await asio::async_read(from.socket, asio::buffer(body), redirect_error_to(error));
-    counters_.bytes_in += fleet::frame_length_bytes + body.size();
-    if (error)
-    {
-        co_return std::nullopt;
-    }
-    std::optional<fleet::hub_message> out;
-    boost::leaf::try_handle_all(
-        [&]() -> core::result<void>
-        {
-            BOOST_LEAF_ASSIGN(out, fleet::decode_hub_message(body));
-            return {};
-        },
-        [&](const core::peer_message_error& refused) {
-            log_.write("peers", "refused", {{"why", core::to_string(refused)}});
-        },
-        [&]
-        {
-            log_.write("peers", "refused",
-                       {{"why", "peer message refused: unexpected error while decoding"}});
-        });
-    co_return out;
+    counters_.bytes_in += received->bytes;
+    co_return std::move(received->message);
 }
 
 asio::awaitable<void> hub_links::serve(asio::ip::tcp::acceptor& acceptor)
@@ -188,6 +125,7 @@
     {
         if (const auto* report = std::get_if<fleet::report_message>(&*message))
         {
+            subscriber->last_report = report->number;
             if (fleet::on_report(registry_, vm, *report, core::boot_clock_now()))
             {
                 report_fleet_view();
@@ -236,13 +174,20 @@
     fleet::update_message update;
     update.revision = replica_.revision;
     update.age = core::boot_clock_now() - replica_.current_as_of;
+    update.last_report = subscriber.last_report;
     auto changes = subscriber.sent_sequence == 0
                        ? std::nullopt
                        : fleet::changes_after(replica_, subscriber.sent_sequence);
     update.complete = !changes.has_value();
     update.changes = changes ? std::move(*changes) : fleet::make_snapshot(replica_);
     subscriber.sent_sequence = replica_.sequence;
-    send(subscriber, update);
+    const std::size_t size = send(subscriber, update);
+    if (update.complete)
+    {
+        ++counters_.snapshots_out;
+        counters_.snapshot_bytes_out += size;
+        log_.write("peers", "snapshot_sent", {{"entries", update.changes.size()}, {"bytes", size}});
+    }
 }
 
 void hub_links::send_fleet(link& subscriber)
@@ -309,13 +254,16 @@
 {
     for (const auto& [address, hub] : hubs_)
     {
-        send(*hub, make_report(address));
+        send_report(address, *hub);
     }
 }
 
-fleet::report_message hub_links::make_report(const std::string& hub_address) const
+void hub_links::send_report(const std::string& address, link& hub)
 {
-    return {.primary = hub_address == primary_hub_, .selection_rate = registry_.own_selection_rate};
+    send(hub, fleet::report_message{.primary = address == primary_hub_,
+                                    .selection_rate = registry_.own_selection_rate,
+                                    .number =
+                                        fleet::on_report_sent(hub.echoes, core::boot_clock_now())});
 }
 
 void hub_links::update_selection_rate(core::time_point now)
@@ -354,7 +302,7 @@
     send(*hub, fleet::hello_message{.self = registry_.self,
                                     .incarnation = incarnation_,
                                     .revision = replica_.complete ? replica_.revision : 0});
-    send(*hub, make_report(address));
+    send_report(address, *hub);
     asio::co_spawn(io_, write_frames(hub), asio::detached);
     while (const auto message = co_await receive(*hub))
     {
@@ -370,7 +318,7 @@
 {
     if (const auto* update = std::get_if<fleet::update_message>(&message))
     {
-        handle_update(address, *update);
+        handle_update(address, hub, *update);
     }
     else if (const auto* fleet = std::get_if<fleet::fleet_message>(&message))
     {
@@ -391,8 +339,25 @@
     }
 }
 
-void hub_links::handle_update(const std::string& address, const fleet::update_message& update)
+core::duration hub_links::measure_delay(const std::string& address, link& hub,
+                                        const fleet::update_message& update)
+{
+    fleet::on_echo(hub.echoes, update.last_report);
+    const core::duration delay = fleet::path_delay(hub.echoes, core::boot_clock_now());
+    const bool is_late = delay >= late_update_delay;
+    if (is_late != hub.is_late)
+    {
+        log_.write("peers", is_late ? "updates_late" : "updates_in_time",
+                   {{"address", address}, {"delay_ms", core::to_milliseconds(delay)}});
+    }
+    hub.is_late = is_late;
+    return delay;
+}
+
+void hub_links::handle_update(const std::string& address, link& hub,
+                              const fleet::update_message& update)
 {
+    measure_delay(address, hub, update);
     const core::time_point now = core::boot_clock_now();
     fleet::on_update(choice_, address, update.age, now);
     received_update_ = true;
--- a/src/net/hub_links.hpp
+++ b/src/net/hub_links.hpp
@@ -4,16 +4,15 @@
 #include "fleet/hub_choice.hpp"
 #include "fleet/registry.hpp"
 #include "fleet/replica.hpp"
+#include "fleet/report_echoes.hpp"
 #include "limits/account_pools.hpp"
-#include "net/deadline_timer.hpp"
-#include "net/event_log.hpp"
 #include "net/grant_requests.hpp"
+#include "net/peer_link.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <deque>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -22,8 +21,6 @@
 namespace zinniaferry::net
 {
 
-namespace asio = boost::asio;
-
 /// What this daemon knows of the fleet, from its subscribers and its hubs.
 struct fleet_view
 {
@@ -57,6 +54,8 @@
     std::uint64_t bytes_in = 0;
     std::uint64_t bytes_out = 0;
     std::uint64_t grant_timeouts = 0; ///< Grants that the primary hub did not send in time.
+    std::uint64_t snapshots_out = 0;  ///< Sent to subscribers.
+    std::uint64_t snapshot_bytes_out = 0;
 };
 
 /// Thread safety: the io_context's thread only. Precondition: all references outlive the hub_links.
@@ -95,30 +94,26 @@
 
 private:
     /// One connection to another daemon.
-    struct link
+    struct link : peer_link
     {
         explicit link(asio::ip::tcp::socket connected)
-            : socket(std::move(connected)), write_timer(socket),
-              notification(socket.get_executor()), outbox_filled(socket.get_executor())
+            : peer_link(std::move(connected)), notification(socket.get_executor())
         {
         }
 
-        asio::ip::tcp::socket socket;
-        deadline_timer write_timer;       ///< Limits each write.
-        asio::steady_timer notification;  ///< Cancelled to wake send_updates.
-        asio::steady_timer outbox_filled; ///< Cancelled to wake write_frames.
-        std::deque<std::string> outbox;   ///< Frames to be written.
+        asio::steady_timer notification; ///< Cancelled to wake send_updates.
         bool notification_pending = false;
-        bool closed = false;
         /// To a subscriber: replica::sequence of the changes sent; 0 until the first snapshot.
         std::uint64_t sent_sequence = 0;
         std::uint64_t members_version_sent = 0; ///< To a subscriber: members_version.
+        std::uint64_t last_report = 0;          ///< From a subscriber: number of its latest report.
+        fleet::report_echoes echoes;            ///< To a hub: the reports that were sent.
+        bool is_late = false;                   ///< From a hub: its updates come late.
         std::vector<fleet::member> members;     ///< From a hub: the last list that was not empty.
         fleet::fleet_message last_fleet;        ///< From a hub: the last message.
     };
     using link_pointer = std::shared_ptr<link>;
 
-    asio::awaitable<void> write_frames(link_pointer to);
     asio::awaitable<void> serve_subscriber(link_pointer subscriber);
     asio::awaitable<void> send_updates(link_pointer subscriber);
     void send_changes(link& subscriber);
@@ -127,12 +122,16 @@
     asio::awaitable<void> subscribe(std::string address);
     asio::awaitable<void> receive_from_hub(std::string address, link_pointer hub);
     void send_reports();
-    fleet::report_message make_report(const std::string& hub_address) const;
+    void send_report(const std::string& address, link& hub);
     void update_selection_rate(core::time_point now);
     void handle_message(const std::string& address, link& hub, const fleet::hub_message& message);
-    void handle_update(const std::string& address, const fleet::update_message& update);
+    void handle_update(const std::string& address, link& hub, const fleet::update_message& update);
+    /// Returns by how much the update is older than it says, and logs when that begins and ends.
+    core::duration measure_delay(const std::string& address, link& hub,
+                                 const fleet::update_message& update);
     void report_fleet_view();
-    void send(link& to, const fleet::hub_message& message);
+    /// Returns the size of the frame in bytes.
+    std::size_t send(link& to, const fleet::hub_message& message);
     asio::awaitable<std::optional<fleet::hub_message>> receive(link& from);
     asio::awaitable<void> wait_for_notification(link& connection, core::duration time);
     static void close(link& connection);
--- a/src/net/request_handler.cpp
+++ b/src/net/request_handler.cpp
@@ -1,6 +1,7 @@
 #include "net/request_handler.hpp"
 
 #include "net/await_error.hpp"
+#include "net/request_log.hpp"
 #include "request/hedging.hpp"
 #include "routing/candidates.hpp"
 
@@ -97,8 +98,9 @@
         std::max(description_.time_left.value_or(default_time_left) - response_transit_time,
                  core::duration());
     deadline_ = arrived_ + std::min(time_left, route_->timeout);
+    const bool is_limited = limits::is_limited(gateway_.accounts, account_);
     const limits::grant granted = co_await net::acquire_grant(gateway_, account_);
-    grant_source_ = granted.source;
+    grant_source_ = is_limited ? std::optional(granted.source) : std::nullopt;
     if (granted.requests == 0)
     {
         co_return request::refusal{refusal_reason::over_limit, granted.retry_after};
@@ -120,6 +122,7 @@
     {
         return request::refusal{refusal_reason::no_configuration, no_configuration_retry_after};
     }
+    decided_by_version_ = current->config->version;
     const config::route* route = config::find_route(*current, description_.host, description_.path);
     if (route == nullptr)
     {
@@ -478,16 +481,20 @@
                 describe_attempt(*attempt, arrived_, core::boot_clock_now() - attempt->sent_at));
         }
     }
-    gateway_.log.write("requests", kind,
-                       {{"request", description_.id},
-                        {"outcome", outcome},
-                        {"status", status},
-                        {"version", configuration_ ? configuration_->config->version : 0},
-                        {"account", account_},
-                        {"rate_decided_by", limits::to_string(grant_source_)},
-                        {"service", service_},
-                        {"ms", core::to_milliseconds(core::boot_clock_now() - arrived_)},
-                        {"attempts", std::move(attempt_log_)}});
+    gateway_.log.write(
+        "requests", kind,
+        describe_outcome({.request_id = description_.id,
+                          .outcome = outcome,
+                          .status = status,
+                          .host = route_ == nullptr ? description_.host : "",
+                          .path = route_ == nullptr ? description_.path : "",
+                          .version = decided_by_version_,
+                          .configuration_age = configuration_age(gateway_, core::boot_clock_now()),
+                          .account = account_,
+                          .grant_source = grant_source_,
+                          .service = service_,
+                          .duration = core::boot_clock_now() - arrived_,
+                          .attempts = std::move(attempt_log_)}));
 }
 
 } // namespace zinniaferry::net
--- a/src/net/request_handler.hpp
+++ b/src/net/request_handler.hpp
@@ -75,8 +75,9 @@
     const config::route* route_ = nullptr;
     std::shared_ptr<routing::route_latency> route_latency_;
     std::string account_;
-    /// What decided on the account's rate; only valid for an account with a rate limit.
-    limits::grant_source grant_source_ = limits::grant_source::hub;
+    std::uint64_t decided_by_version_ = 0; ///< Configuration that was looked up last; 0 for none.
+    /// What decided on the account's rate; nothing if no limit applies or none was looked up.
+    std::optional<limits::grant_source> grant_source_;
     std::string service_;
     core::time_point arrived_;
     core::time_point deadline_; ///< The response must have left the daemon by then.
--- a/test/support/front_end.hpp
+++ b/test/support/front_end.hpp
@@ -149,6 +149,8 @@
             co_return limits::take_from_pool(gateway_.accounts, account, core::boot_clock_now());
         };
         net::apply_configuration(gateway_, config, core::boot_clock_now());
+        // Current for the whole test, unless the test says otherwise.
+        gateway_.configuration_current_as_of = core::boot_clock_now() + std::chrono::hours(1);
         asio::co_spawn(io_, net::accept_callers(sessions_, acceptor_), asio::detached);
         thread_ = std::thread([this] { io_.run(); });
     }
