--- a/test/correctness/net/hub_links_test.cpp
+++ b/test/correctness/net/hub_links_test.cpp
@@ -67,10 +67,112 @@
     asio::ip::tcp::acceptor acceptor_;
 };
 
+/// A daemon that subscribes to a hub and records what the hub sends.
+class subscriber
+{
+public:
+    subscriber(asio::io_context& io, asio::ip::tcp::endpoint hub, std::uint64_t revision)
+        : socket_(io)
+    {
+        asio::co_spawn(io, run(hub, revision), asio::detached);
+    }
+
+    fleet::replica replica;     ///< Brought up to date from the hub's updates.
+    std::size_t bytes = 0;      ///< Received so far, without the lengths of the frames.
+    std::size_t heartbeats = 0; ///< Updates without changes.
+
+private:
+    asio::awaitable<void> run(asio::ip::tcp::endpoint hub, std::uint64_t revision)
+    {
+        co_await socket_.async_connect(hub, asio::use_awaitable);
+        const std::string hello = fleet::encode_frame(fleet::hello_message{
+            .self = {"vm-2", "127.0.0.1:2"}, .incarnation = 2, .revision = revision});
+        co_await asio::async_write(socket_, asio::buffer(hello), asio::use_awaitable);
+        while (true)
+        {
+            std::array<unsigned char, fleet::frame_length_bytes> length{};
+            co_await asio::async_read(socket_, asio::buffer(length), asio::use_awaitable);
+            std::string body(boost::endian::load_big_u32(length.data()), '\0');
+            co_await asio::async_read(socket_, asio::buffer(body), asio::use_awaitable);
+            bytes += body.size();
+            apply(fleet::decode_hub_message(body).value());
+        }
+    }
+
+    void apply(const fleet::hub_message& message)
+    {
+        const auto* update = std::get_if<fleet::update_message>(&message);
+        if (update == nullptr)
+        {
+            return;
+        }
+        heartbeats += update->changes.empty() ? 1 : 0;
+        if (update->complete)
+        {
+            fleet::apply_snapshot(replica, update->changes, update->revision, {}, {});
+        }
+        else
+        {
+            fleet::apply_changes(replica, update->changes, update->revision);
+        }
+    }
+
+    asio::ip::tcp::socket socket_;
+};
+
+/// Text of a configuration with so many routes.
+std::string large_value(std::size_t routes)
+{
+    std::string out;
+    core::random_generator random(1);
+    for (std::size_t i = 0; i < routes; ++i)
+    {
+        out +=
+            R"({"host":"a.example","prefix":"/)" + std::to_string(random()) +
+            R"(/","service":"patterns","kind":"safe","attempts":2,"timeout-s":1.5,"slo-s":0.6},)";
+    }
+    return out;
+}
+
+/// A hub that only sends an update with a snapshot, late.
+class late_hub
+{
+public:
+    late_hub(asio::io_context& io, core::duration delay)
+        : delay_(delay), acceptor_(io, {asio::ip::make_address("127.0.0.1"), 0}), timer_(io)
+    {
+        asio::co_spawn(io, serve(), asio::detached);
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+
+private:
+    asio::awaitable<void> serve()
+    {
+        asio::ip::tcp::socket socket = co_await acceptor_.async_accept(asio::use_awaitable);
+        timer_.expires_after(delay_);
+        co_await timer_.async_wait(asio::use_awaitable);
+        const std::string frame = fleet::encode_frame(
+            fleet::update_message{.revision = 1, .complete = true, .changes = {{"a", "1", 1}}});
+        co_await asio::async_write(socket, asio::buffer(frame), asio::use_awaitable);
+        timer_.expires_after(1h);
+        co_await timer_.async_wait(asio::use_awaitable);
+    }
+
+    core::duration delay_;
+    asio::ip::tcp::acceptor acceptor_;
+    asio::steady_timer timer_;
+};
+
 struct hub_links_test : testing::Test
 {
     hub_links_test()
     {
+        callbacks.on_changes = [](const std::vector<fleet::entry_change>&) {
+        };
         callbacks.on_fleet_view = [this](const fleet_view& view)
         {
             latest_view = view;
@@ -96,6 +198,17 @@
         return test::run_until(io, [&] { return latest_view.hub_reachable; });
     }
 
+    /// Serves subscribers from `replica`, which gets the large value at revision 5.
+    void serve(const std::string& large)
+    {
+        fleet::apply_changes(replica, {{"config", large, 5}}, 5);
+        replica.complete = true;
+        replica.current_as_of = core::boot_clock_now();
+        links = std::make_unique<hub_links>(io, fleet::member{"vm-1", "127.0.0.1:1"}, 1, replica,
+                                            log, callbacks);
+        asio::co_spawn(io, links->serve(acceptor), asio::detached);
+    }
+
     /// Asks for one grant and returns whether it came in time.
     bool ask()
     {
@@ -113,6 +226,7 @@
     }
 
     asio::io_context io;
+    asio::ip::tcp::acceptor acceptor{io, {asio::ip::make_address("127.0.0.1"), 0}};
     fleet::replica replica;
     event_log log{{.enabled = false}};
     hub_link_callbacks callbacks;
@@ -149,5 +263,46 @@
     EXPECT_EQ(quick.asked, 1);
 }
 
+// Guards against a storm of snapshots: subscribers that changed hubs got every entry again, the
+// configuration included, although they lacked a single change.
+TEST_F(hub_links_test, a_subscriber_that_lacks_one_change_does_not_get_the_configuration_again)
+{
+    const std::string large = large_value(1400);
+    serve(large);
+    fleet::apply_changes(replica, {{"server", "ready", 6}, {"gone", "ready", 4}}, 6);
+    subscriber behind(io, acceptor.local_endpoint(), 5);
+    fleet::apply_changes(behind.replica, {{"config", large, 5}, {"gone", "ready", 4}}, 5);
+    fleet::apply_changes(replica, {{"gone", std::nullopt, 7}}, 7);
+    ASSERT_TRUE(test::run_until(io, [&] { return behind.heartbeats >= 1; }));
+    EXPECT_EQ(behind.replica.revision, 7U);
+    EXPECT_EQ(behind.replica.entries.at("server").value, "ready");
+    EXPECT_EQ(behind.replica.entries.at("config").value, large);
+    EXPECT_FALSE(behind.replica.entries.contains("gone"));
+    EXPECT_LT(behind.bytes, large.size() / 20);
+}
+
+// Guards against full links: each new version of a large configuration was sent to every subscriber
+// as it is, so that the links of hubs were full for seconds and cut them off.
+TEST_F(hub_links_test, a_large_configuration_takes_a_fraction_of_its_size_on_the_link)
+{
+    const std::string large = large_value(1400);
+    serve(large);
+    subscriber fresh(io, acceptor.local_endpoint(), 0);
+    ASSERT_TRUE(test::run_until(io, [&] { return fresh.heartbeats >= 1; }));
+    EXPECT_EQ(fresh.replica.entries.at("config").value, large);
+    EXPECT_LT(fresh.bytes, large.size() / 4);
+}
+
+// Guards against taking an update for current that waited in a full link: the daemon then neither
+// asked the platform nor another hub.
+TEST_F(hub_links_test, an_update_that_was_on_its_way_for_long_does_not_make_a_hub_current)
+{
+    late_hub hub(io, 2500ms);
+    ASSERT_TRUE(start({hub.address()}));
+    ASSERT_TRUE(test::run_until(io, [&] { return links->has_received_update(); }));
+    EXPECT_TRUE(links->must_follow_platform());
+    EXPECT_LT(replica.current_as_of, core::boot_clock_now() - 1s);
+}
+
 } // namespace
 } // namespace zinniaferry::net
--- a/test/correctness/net/request_handler_test.cpp
+++ b/test/correctness/net/request_handler_test.cpp
@@ -194,5 +194,26 @@
     EXPECT_THAT(server.received(), testing::IsEmpty());
 }
 
+// Guards against refusing proper requests as unknown (DENIED): a daemon behind a full link answered
+// 404 and 401 for routes and keys of a configuration that had not reached it.
+TEST(request_handler, an_outdated_configuration_does_not_refuse_a_request_as_unknown)
+{
+    raw_server server(good_response);
+    front_end daemon(one_server_configuration(server.address()), platform::make_http_profile());
+    daemon.run_on_io_thread(
+        [](caller_sessions& sessions, asio::ip::tcp::acceptor&)
+        { sessions.gateway.configuration_current_as_of = core::boot_clock_now() - 3s; });
+    const std::string unknown_key = "GET /keyed HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+                                    "guess\r\nConnection: close\r\n\r\n";
+    for (const std::string& message : {request("GET", "/nowhere"), unknown_key})
+    {
+        const std::string out = daemon.exchange(message);
+        EXPECT_THAT(out, StartsWith("HTTP/1.1 503 ")) << message;
+        EXPECT_THAT(out, HasSubstr("Retry-After: ")) << message;
+    }
+    EXPECT_THAT(daemon.exchange(request()), StartsWith("HTTP/1.1 200 "))
+        << "what the configuration allows is still served";
+}
+
 } // namespace
 } // namespace zinniaferry::net
