Add the time that a hub's update was on its way to its age

A daemon behind a full link took updates that had waited for seconds as recent: the age in an update is set when the hub queues it. The delay that numbered reports show is added to the age.

A hub of an earlier version repeats no number, so its updates count as old and the daemon follows the store itself: more calls while versions are mixed, no wrong answer.

--- a/src/net/hub_links.cpp
+++ b/src/net/hub_links.cpp
@@ -357,14 +357,15 @@
 void hub_links::handle_update(const std::string& address, link& hub,
                               const fleet::update_message& update)
 {
-    measure_delay(address, hub, update);
+    // The update was queued, and its age determined, up to this long before it arrived.
+    const core::duration age = update.age + measure_delay(address, hub, update);
     const core::time_point now = core::boot_clock_now();
-    fleet::on_update(choice_, address, update.age, now);
+    fleet::on_update(choice_, address, age, now);
     received_update_ = true;
     const auto changes =
         update.complete ? fleet::apply_snapshot(replica_, update.changes, update.revision, {}, now)
                         : fleet::apply_changes(replica_, update.changes, update.revision);
-    replica_.current_as_of = std::max(replica_.current_as_of, now - update.age);
+    replica_.current_as_of = std::max(replica_.current_as_of, now - age);
     callbacks_.on_changes(changes);
 }
 
