--- a/src/fleet/hub.capnp
+++ b/src/fleet/hub.capnp
@@ -11,6 +11,7 @@
     removed @1 :Bool;
     value @2 :Data;
     revision @3 :UInt64;
+    unchanged @4 :Bool;  # In a snapshot: the subscriber knows the entry, and the value is left out.
 }
 
 struct Member {
--- a/src/fleet/hub.capnp.h
+++ b/src/fleet/hub.capnp.h
@@ -205,6 +205,8 @@
 
   inline  ::uint64_t getRevision() const;
 
+  inline bool getUnchanged() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -253,6 +255,9 @@
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
 
+  inline bool getUnchanged();
+  inline void setUnchanged(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1169,6 +1174,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Change::Reader::getUnchanged() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool Change::Builder::getUnchanged() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Change::Builder::setUnchanged(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Member::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/fleet/hub_messages.cpp
+++ b/src/fleet/hub_messages.cpp
@@ -58,7 +58,8 @@
             const entry_change& change = value.changes[i];
             changes[i].setKey(change.key);
             changes[i].setRevision(change.revision);
-            changes[i].setRemoved(!change.value.has_value());
+            changes[i].setRemoved(!change.value.has_value() && !change.unchanged);
+            changes[i].setUnchanged(change.unchanged);
             if (change.value)
             {
                 changes[i].setValue(kj::arrayPtr(
@@ -114,7 +115,8 @@
     for (const auto& change : update.getChanges())
     {
         entry_change entry{.key = text(change.getKey()), .revision = change.getRevision()};
-        if (!change.getRemoved())
+        entry.unchanged = change.getUnchanged();
+        if (!change.getRemoved() && !entry.unchanged)
         {
             const auto value = change.getValue();
             entry.value = std::string(value.asChars().begin(), value.size());
--- a/src/fleet/replica.cpp
+++ b/src/fleet/replica.cpp
@@ -85,6 +85,7 @@
     {
         present.insert(entry.key);
     }
+    std::erase_if(snapshot, [](const entry_change& entry) { return entry.unchanged; });
     std::vector<entry_change> out = apply_changes(replica, std::move(snapshot), 0);
     std::vector<std::string> gone;
     for (const auto& [key, entry] : replica.entries)
@@ -131,13 +132,17 @@
     return out;
 }
 
-std::vector<entry_change> make_snapshot(const replica& replica)
+std::vector<entry_change> make_snapshot(const replica& replica, std::uint64_t known_revision)
 {
     std::vector<entry_change> out;
     out.reserve(replica.entries.size());
     for (const auto& [key, entry] : replica.entries)
     {
-        out.push_back({key, entry.value, entry.revision});
+        const bool unchanged = entry.revision <= known_revision;
+        out.push_back({.key = key,
+                       .value = unchanged ? std::nullopt : std::optional(entry.value),
+                       .revision = entry.revision,
+                       .unchanged = unchanged});
     }
     return out;
 }
--- a/src/fleet/replica.hpp
+++ b/src/fleet/replica.hpp
@@ -20,6 +20,8 @@
     std::string key;
     std::optional<std::string> value; ///< Nullopt for a removal.
     std::uint64_t revision = 0;       ///< Store revision of the change.
+    /// In a snapshot only: the receiver knows the entry, so its value is left out.
+    bool unchanged = false;
 
     bool operator==(const entry_change&) const = default;
 };
@@ -70,8 +72,9 @@
 /// Removes the missing entries whose grace period is over. Returns the changes.
 std::vector<entry_change> expire_missing(replica& replica, core::time_point now);
 
-/// Returns a snapshot: all entries as changes.
-std::vector<entry_change> make_snapshot(const replica& replica);
+/// Returns a snapshot for a replica that knows all changes up to `known_revision`, 0 for none: all
+/// entries as changes, those up to that revision marked as unchanged and without a value.
+std::vector<entry_change> make_snapshot(const replica& replica, std::uint64_t known_revision);
 
 /// Returns the changes that arrived since replica::sequence was `sequence`, or nullopt when
 /// tombstones since then may have been discarded, so that a snapshot is required.
--- a/src/net/hub_links.cpp
+++ b/src/net/hub_links.cpp
@@ -115,10 +115,12 @@
     report_fleet_view();
     log_.write("peers", "subscribed", {{"vm", vm}, {"revision", subscriber_hello.revision}});
     subscribers_.insert(subscriber);
-    // A subscriber whose revision differs from that of the replica gets a snapshot.
+    // A subscriber whose revision differs from that of the replica gets a snapshot, with the values
+    // of the entries that it lacks.
     const bool is_up_to_date =
         subscriber_hello.revision != 0 && subscriber_hello.revision == replica_.revision;
     subscriber->sent_sequence = is_up_to_date ? replica_.sequence : 0;
+    subscriber->known_revision = subscriber_hello.revision;
     asio::co_spawn(io_, write_frames(subscriber), asio::detached);
     asio::co_spawn(io_, send_updates(subscriber), asio::detached);
     while (const auto message = co_await receive(*subscriber))
@@ -179,7 +181,8 @@
                        ? std::nullopt
                        : fleet::changes_after(replica_, subscriber.sent_sequence);
     update.complete = !changes.has_value();
-    update.changes = changes ? std::move(*changes) : fleet::make_snapshot(replica_);
+    update.changes =
+        changes ? std::move(*changes) : fleet::make_snapshot(replica_, subscriber.known_revision);
     subscriber.sent_sequence = replica_.sequence;
     const std::size_t size = send(subscriber, update);
     if (update.complete)
--- a/src/net/hub_links.hpp
+++ b/src/net/hub_links.hpp
@@ -103,6 +103,7 @@
 
         asio::steady_timer notification; ///< Cancelled to wake send_updates.
         bool notification_pending = false;
+        std::uint64_t known_revision = 0; ///< Of a subscriber's replica when it subscribed.
         /// To a subscriber: replica::sequence of the changes sent; 0 until the first snapshot.
         std::uint64_t sent_sequence = 0;
         std::uint64_t members_version_sent = 0; ///< To a subscriber: members_version.
--- a/src/request/refusal.hpp
+++ b/src/request/refusal.hpp
@@ -21,13 +21,13 @@
     no_configuration, ///< The daemon has received none yet.
     /// No route or key in a configuration that a newer one may have replaced.
     configuration_outdated,
-    no_server,        ///< No backend server may get the request now.
-    overloaded,       ///< The backend servers that were tried have no capacity for it.
-    stopping,         ///< The daemon is about to exit.
-    expired,          ///< The deadline passed before the request was sent.
-    deadline,         ///< The deadline passed after the request was sent.
-    server_lost,      ///< The connection to the backend server ended before the response.
-    unusable_answer,  ///< The response was truncated, malformed or not the backend server's.
+    no_server,       ///< No backend server may get the request now.
+    overloaded,      ///< The backend servers that were tried have no capacity for it.
+    stopping,        ///< The daemon is about to exit.
+    expired,         ///< The deadline passed before the request was sent.
+    deadline,        ///< The deadline passed after the request was sent.
+    server_lost,     ///< The connection to the backend server ended before the response.
+    unusable_answer, ///< The response was truncated, malformed or not the backend server's.
 };
 
 /// Returns the name for bodies, logs and metrics. Thread safe.
--- a/test/correctness/fleet/replica_test.cpp
+++ b/test/correctness/fleet/replica_test.cpp
@@ -78,7 +78,7 @@
     ASSERT_EQ(changes->size(), 1U);
     EXPECT_EQ(changes->front().key, "a");
     EXPECT_FALSE(changes->front().value);
-    EXPECT_EQ(make_snapshot(copy).size(), 1U);
+    EXPECT_EQ(make_snapshot(copy, 0).size(), 1U);
 }
 
 // Guards against a subscriber that keeps removed entries because their tombstones were discarded.
@@ -97,5 +97,20 @@
     EXPECT_TRUE(changes_after(copy, copy.sequence - 2));
 }
 
+// Guards against a snapshot for a replica that is nearly up to date that removes what it leaves
+// out, or leaves out what the replica lacks.
+TEST(replica, a_snapshot_leaves_out_only_the_values_that_the_receiver_knows)
+{
+    replica hub;
+    apply_changes(hub, {written("a", "1", 1), written("b", "1", 2), written("c", "1", 3)}, 3);
+    replica copy;
+    apply_snapshot(copy, make_snapshot(hub, 0), 3, {}, start);
+    apply_changes(hub, {written("b", "2", 4), removed("c", 5), written("d", "1", 6)}, 6);
+    const auto snapshot = make_snapshot(hub, copy.revision);
+    EXPECT_EQ(snapshot.at(0), (entry_change{.key = "a", .revision = 1, .unchanged = true}));
+    apply_snapshot(copy, snapshot, 6, {}, start);
+    EXPECT_EQ(make_snapshot(copy, 0), make_snapshot(hub, 0));
+}
+
 } // namespace
 } // namespace zinniaferry::fleet
