Compress large messages to subscribers, and encode an update once for all

Messages of 2 KiB or more are compressed (raw deflate, Boost.Beast's) where the subscriber says that it reads that, and the frame is shared by all subscribers that lack the same changes, so that a hub encodes and compresses it once and holds one copy of it. What was weighed: changes between two values of an entry (small for changed weights, as large as the new routes otherwise, and a second form of the same data), and one hub only for large values (halves the volume).

--- a/src/fleet/hub.capnp
+++ b/src/fleet/hub.capnp
@@ -26,6 +26,7 @@
     address @1 :Text;
     incarnation @2 :UInt64;
     revision @3 :UInt64;
+    acceptsCompressed @4 :Bool;  # The subscriber reads Compressed messages.
 }
 
 struct Report {
@@ -66,6 +67,12 @@
     selectionRate @3 :Float32;  # Sum over the hub and its subscribers.
 }
 
+struct Compressed {
+    # A HubMessage, packed and then compressed by raw deflate.
+    size @0 :UInt32;  # Before the compression.
+    bytes @1 :Data;
+}
+
 struct HubMessage {
     union {
         hello @0 :Hello;
@@ -74,5 +81,6 @@
         fleet @3 :Fleet;
         ask @4 :Ask;
         grant @5 :Grant;
+        compressed @6 :Compressed;
     }
 }
--- a/src/fleet/hub.capnp.h
+++ b/src/fleet/hub.capnp.h
@@ -24,6 +24,7 @@
 CAPNP_DECLARE_SCHEMA(ec2d527241332842);
 CAPNP_DECLARE_SCHEMA(91e1793972b28854);
 CAPNP_DECLARE_SCHEMA(fb93a88c43c42846);
+CAPNP_DECLARE_SCHEMA(9ba3553bb995c6a0);
 CAPNP_DECLARE_SCHEMA(8026e00bb0434081);
 
 }  // namespace schemas
@@ -71,7 +72,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eaed290eb65e3159, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(eaed290eb65e3159, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -153,6 +154,21 @@
   };
 };
 
+struct Compressed {
+  Compressed() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9ba3553bb995c6a0, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct HubMessage {
   HubMessage() = delete;
 
@@ -166,6 +182,7 @@
     FLEET,
     ASK,
     GRANT,
+    COMPRESSED,
   };
 
   struct _capnpPrivate {
@@ -402,6 +419,8 @@
 
   inline  ::uint64_t getRevision() const;
 
+  inline bool getAcceptsCompressed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -450,6 +469,9 @@
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
 
+  inline bool getAcceptsCompressed();
+  inline void setAcceptsCompressed(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -931,6 +953,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class Compressed::Reader {
+public:
+  typedef Compressed Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getSize() const;
+
+  inline bool hasBytes() const;
+  inline  ::capnp::Data::Reader getBytes() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Compressed::Builder {
+public:
+  typedef Compressed Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getSize();
+  inline void setSize( ::uint32_t value);
+
+  inline bool hasBytes();
+  inline  ::capnp::Data::Builder getBytes();
+  inline void setBytes( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBytes(unsigned int size);
+  inline void adoptBytes(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBytes();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Compressed::Pipeline {
+public:
+  typedef Compressed Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class HubMessage::Reader {
 public:
   typedef HubMessage Reads;
@@ -973,6 +1081,10 @@
   inline bool hasGrant() const;
   inline  ::zinniaferry::fleet::wire::Grant::Reader getGrant() const;
 
+  inline bool isCompressed() const;
+  inline bool hasCompressed() const;
+  inline  ::zinniaferry::fleet::wire::Compressed::Reader getCompressed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1050,6 +1162,14 @@
   inline void adoptGrant(::capnp::Orphan< ::zinniaferry::fleet::wire::Grant>&& value);
   inline ::capnp::Orphan< ::zinniaferry::fleet::wire::Grant> disownGrant();
 
+  inline bool isCompressed();
+  inline bool hasCompressed();
+  inline  ::zinniaferry::fleet::wire::Compressed::Builder getCompressed();
+  inline void setCompressed( ::zinniaferry::fleet::wire::Compressed::Reader value);
+  inline  ::zinniaferry::fleet::wire::Compressed::Builder initCompressed();
+  inline void adoptCompressed(::capnp::Orphan< ::zinniaferry::fleet::wire::Compressed>&& value);
+  inline ::capnp::Orphan< ::zinniaferry::fleet::wire::Compressed> disownCompressed();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1352,6 +1472,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Hello::Reader::getAcceptsCompressed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Hello::Builder::getAcceptsCompressed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setAcceptsCompressed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Report::Reader::getPrimary() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1650,6 +1784,54 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Compressed::Reader::getSize() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Compressed::Builder::getSize() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Compressed::Builder::setSize( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Compressed::Reader::hasBytes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Compressed::Builder::hasBytes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Compressed::Reader::getBytes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Compressed::Builder::getBytes() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Compressed::Builder::setBytes( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Compressed::Builder::initBytes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Compressed::Builder::adoptBytes(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Compressed::Builder::disownBytes() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::zinniaferry::fleet::wire::HubMessage::Which HubMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1983,6 +2165,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool HubMessage::Reader::isCompressed() const {
+  return which() == HubMessage::COMPRESSED;
+}
+inline bool HubMessage::Builder::isCompressed() {
+  return which() == HubMessage::COMPRESSED;
+}
+inline bool HubMessage::Reader::hasCompressed() const {
+  if (which() != HubMessage::COMPRESSED) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HubMessage::Builder::hasCompressed() {
+  if (which() != HubMessage::COMPRESSED) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::zinniaferry::fleet::wire::Compressed::Reader HubMessage::Reader::getCompressed() const {
+  KJ_IREQUIRE((which() == HubMessage::COMPRESSED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::zinniaferry::fleet::wire::Compressed>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::zinniaferry::fleet::wire::Compressed::Builder HubMessage::Builder::getCompressed() {
+  KJ_IREQUIRE((which() == HubMessage::COMPRESSED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::zinniaferry::fleet::wire::Compressed>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HubMessage::Builder::setCompressed( ::zinniaferry::fleet::wire::Compressed::Reader value) {
+  _builder.setDataField<HubMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, HubMessage::COMPRESSED);
+  ::capnp::_::PointerHelpers< ::zinniaferry::fleet::wire::Compressed>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::zinniaferry::fleet::wire::Compressed::Builder HubMessage::Builder::initCompressed() {
+  _builder.setDataField<HubMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, HubMessage::COMPRESSED);
+  return ::capnp::_::PointerHelpers< ::zinniaferry::fleet::wire::Compressed>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HubMessage::Builder::adoptCompressed(
+    ::capnp::Orphan< ::zinniaferry::fleet::wire::Compressed>&& value) {
+  _builder.setDataField<HubMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, HubMessage::COMPRESSED);
+  ::capnp::_::PointerHelpers< ::zinniaferry::fleet::wire::Compressed>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::zinniaferry::fleet::wire::Compressed> HubMessage::Builder::disownCompressed() {
+  KJ_IREQUIRE((which() == HubMessage::COMPRESSED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::zinniaferry::fleet::wire::Compressed>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/src/fleet/hub_messages.cpp
+++ b/src/fleet/hub_messages.cpp
@@ -1,5 +1,6 @@
 #include "fleet/hub_messages.hpp"
 
+#include "core/compression.hpp"
 #include "fleet/hub.capnp.h"
 
 #include <boost/endian/conversion.hpp>
@@ -18,6 +19,8 @@
 {
 
 constexpr int max_nesting = 8;
+/// Smaller messages gain little by compression.
+constexpr std::size_t min_compressed_bytes = 2048;
 constexpr std::size_t max_traversal_words = 4 * max_hub_message_bytes / sizeof(capnp::word);
 
 std::string text(capnp::Text::Reader value)
@@ -36,6 +39,7 @@
         hello.setAddress(value.self.address);
         hello.setIncarnation(value.incarnation);
         hello.setRevision(value.revision);
+        hello.setAcceptsCompressed(value.accepts_compressed);
     }
     void operator()(const report_message& value)
     {
@@ -158,7 +162,8 @@
         const auto hello = message.getHello();
         return hello_message{.self = {text(hello.getVm()), text(hello.getAddress())},
                              .incarnation = hello.getIncarnation(),
-                             .revision = hello.getRevision()};
+                             .revision = hello.getRevision(),
+                             .accepts_compressed = hello.getAcceptsCompressed()};
     }
     case wire::HubMessage::REPORT:
         return report_message{.primary = message.getReport().getPrimary(),
@@ -177,21 +182,69 @@
     throw KJ_EXCEPTION(FAILED, "unknown type of hub message");
 }
 
+std::string write_packed(capnp::MessageBuilder& builder)
+{
+    kj::VectorOutputStream stream;
+    capnp::writePackedMessage(stream, builder);
+    const kj::ArrayPtr<kj::byte> bytes = stream.getArray();
+    return {bytes.asChars().begin(), bytes.size()};
+}
+
+std::string encode_compressed(std::string_view message)
+{
+    const std::string bytes = core::compress(message);
+    capnp::MallocMessageBuilder builder(bytes.size() / sizeof(capnp::word) + 16);
+    auto compressed = builder.initRoot<wire::HubMessage>().initCompressed();
+    compressed.setSize(static_cast<std::uint32_t>(message.size()));
+    compressed.setBytes(
+        kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+    return write_packed(builder);
+}
+
+std::string read_compressed(wire::Compressed::Reader compressed)
+{
+    const auto bytes = compressed.getBytes().asChars();
+    std::optional<std::string> out;
+    if (compressed.getSize() <= max_hub_message_bytes)
+    {
+        out = core::decompress({bytes.begin(), bytes.size()}, compressed.getSize());
+    }
+    KJ_REQUIRE(out.has_value(), "malformed compressed hub message");
+    return std::move(*out);
+}
+
+/// Reads a message that is not compressed itself, or throws kj::Exception.
+hub_message read_packed(std::string_view bytes, std::string* decompressed)
+{
+    kj::ArrayInputStream stream(
+        kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+    capnp::PackedMessageReader reader(
+        stream, {.traversalLimitInWords = max_traversal_words, .nestingLimit = max_nesting});
+    const auto message = reader.getRoot<wire::HubMessage>();
+    if (message.isCompressed() && decompressed != nullptr)
+    {
+        *decompressed = read_compressed(message.getCompressed());
+        return read_packed(*decompressed, nullptr);
+    }
+    return read_message(message);
+}
+
 } // namespace
 
 std::string encode(const hub_message& message)
 {
     capnp::MallocMessageBuilder builder(128);
     std::visit(message_writer{builder.initRoot<wire::HubMessage>()}, message);
-    kj::VectorOutputStream stream;
-    capnp::writePackedMessage(stream, builder);
-    const kj::ArrayPtr<kj::byte> bytes = stream.getArray();
-    return {bytes.asChars().begin(), bytes.size()};
+    return write_packed(builder);
 }
 
-std::string encode_frame(const hub_message& message)
+std::string encode_frame(const hub_message& message, compression mode)
 {
-    const std::string body = encode(message);
+    std::string body = encode(message);
+    if (mode == compression::allowed && body.size() >= min_compressed_bytes)
+    {
+        body = encode_compressed(body);
+    }
     std::string frame(frame_length_bytes, '\0');
     boost::endian::store_big_u32(reinterpret_cast<unsigned char*>(frame.data()),
                                  static_cast<std::uint32_t>(body.size()));
@@ -202,11 +255,8 @@
 {
     try
     {
-        kj::ArrayInputStream stream(
-            kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
-        capnp::PackedMessageReader reader(
-            stream, {.traversalLimitInWords = max_traversal_words, .nestingLimit = max_nesting});
-        return read_message(reader.getRoot<wire::HubMessage>());
+        std::string decompressed;
+        return read_packed(bytes, &decompressed);
     }
     catch (const kj::Exception&)
     {
--- a/src/fleet/hub_messages.hpp
+++ b/src/fleet/hub_messages.hpp
@@ -29,8 +29,9 @@
 struct hello_message
 {
     member self;
-    std::uint64_t incarnation = 0; ///< Random; differs between two process starts on one VM.
-    std::uint64_t revision = 0;    ///< Of the subscriber's replica; 0 for none.
+    std::uint64_t incarnation = 0;   ///< Random; differs between two process starts on one VM.
+    std::uint64_t revision = 0;      ///< Of the subscriber's replica; 0 for none.
+    bool accepts_compressed = false; ///< The subscriber reads compressed messages.
 
     bool operator==(const hello_message&) const = default;
 };
@@ -97,8 +98,15 @@
 /// Size of the length field in front of each message: its size in bytes, big-endian.
 inline constexpr std::size_t frame_length_bytes = 4;
 
+/// Whether a message may be compressed, which large ones then are.
+enum class compression
+{
+    off,
+    allowed
+};
+
 /// Returns the encoded message with its length field. Thread safe.
-std::string encode_frame(const hub_message& message);
+std::string encode_frame(const hub_message& message, compression mode = compression::off);
 
 /// Decodes a message. Error: peer_message_error for malformed bytes. Thread safe.
 core::result<hub_message> decode_hub_message(std::string_view bytes);
--- a/src/net/hub_links.cpp
+++ b/src/net/hub_links.cpp
@@ -70,13 +70,11 @@
     connection.notification_pending = false;
 }
 
-std::size_t hub_links::send(link& to, const fleet::hub_message& message)
+void hub_links::send(link& to, const fleet::hub_message& message)
 {
     const auto frame = std::make_shared<const std::string>(fleet::encode_frame(message));
-    const std::size_t size = frame->size();
-    counters_.bytes_out += size;
+    counters_.bytes_out += frame->size();
     queue_frame(to, frame);
-    return size;
 }
 
 asio::awaitable<std::optional<fleet::hub_message>> hub_links::receive(link& from)
@@ -119,8 +117,11 @@
     // of the entries that it lacks.
     const bool is_up_to_date =
         subscriber_hello.revision != 0 && subscriber_hello.revision == replica_.revision;
-    subscriber->sent_sequence = is_up_to_date ? replica_.sequence : 0;
-    subscriber->known_revision = subscriber_hello.revision;
+    subscriber->position = {.sent_sequence = is_up_to_date ? replica_.sequence : 0,
+                            .known_revision = subscriber_hello.revision,
+                            .compression = subscriber_hello.accepts_compressed
+                                               ? fleet::compression::allowed
+                                               : fleet::compression::off};
     asio::co_spawn(io_, write_frames(subscriber), asio::detached);
     asio::co_spawn(io_, send_updates(subscriber), asio::detached);
     while (const auto message = co_await receive(*subscriber))
@@ -173,23 +174,28 @@
 
 void hub_links::send_changes(link& subscriber)
 {
-    fleet::update_message update;
-    update.revision = replica_.revision;
-    update.age = core::boot_clock_now() - replica_.current_as_of;
-    update.last_report = subscriber.last_report;
-    auto changes = subscriber.sent_sequence == 0
-                       ? std::nullopt
-                       : fleet::changes_after(replica_, subscriber.sent_sequence);
-    update.complete = !changes.has_value();
-    update.changes =
-        changes ? std::move(*changes) : fleet::make_snapshot(replica_, subscriber.known_revision);
-    subscriber.sent_sequence = replica_.sequence;
-    const std::size_t size = send(subscriber, update);
-    if (update.complete)
+    if (subscriber.position.sent_sequence == 0 ||
+        subscriber.position.sent_sequence != replica_.sequence)
+    {
+        const encoded_update update =
+            update_for(shared_update_, replica_, subscriber.position, core::boot_clock_now());
+        subscriber.position.sent_sequence = replica_.sequence;
+        counters_.bytes_out += update.frame->size();
+        queue_frame(subscriber, update.frame);
+        log_snapshot(update);
+    }
+    send(subscriber, fleet::update_message{.revision = replica_.revision,
+                                           .age = core::boot_clock_now() - replica_.current_as_of,
+                                           .last_report = subscriber.last_report});
+}
+
+void hub_links::log_snapshot(const encoded_update& update)
+{
+    if (update.is_snapshot)
     {
         ++counters_.snapshots_out;
-        counters_.snapshot_bytes_out += size;
-        log_.write("peers", "snapshot_sent", {{"entries", update.changes.size()}, {"bytes", size}});
+        log_.write("peers", "snapshot_sent",
+                   {{"entries", update.entries}, {"bytes", update.frame->size()}});
     }
 }
 
@@ -304,7 +310,8 @@
     fleet::on_connected(choice_, address, core::boot_clock_now());
     send(*hub, fleet::hello_message{.self = registry_.self,
                                     .incarnation = incarnation_,
-                                    .revision = replica_.complete ? replica_.revision : 0});
+                                    .revision = replica_.complete ? replica_.revision : 0,
+                                    .accepts_compressed = true});
     send_report(address, *hub);
     asio::co_spawn(io_, write_frames(hub), asio::detached);
     while (const auto message = co_await receive(*hub))
--- a/src/net/hub_links.hpp
+++ b/src/net/hub_links.hpp
@@ -7,7 +7,7 @@
 #include "fleet/report_echoes.hpp"
 #include "limits/account_pools.hpp"
 #include "net/grant_requests.hpp"
-#include "net/peer_link.hpp"
+#include "net/shared_update.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -55,7 +55,6 @@
     std::uint64_t bytes_out = 0;
     std::uint64_t grant_timeouts = 0; ///< Grants that the primary hub did not send in time.
     std::uint64_t snapshots_out = 0;  ///< Sent to subscribers.
-    std::uint64_t snapshot_bytes_out = 0;
 };
 
 /// Thread safety: the io_context's thread only. Precondition: all references outlive the hub_links.
@@ -103,9 +102,7 @@
 
         asio::steady_timer notification; ///< Cancelled to wake send_updates.
         bool notification_pending = false;
-        std::uint64_t known_revision = 0; ///< Of a subscriber's replica when it subscribed.
-        /// To a subscriber: replica::sequence of the changes sent; 0 until the first snapshot.
-        std::uint64_t sent_sequence = 0;
+        subscriber_position position;           ///< Of a subscriber.
         std::uint64_t members_version_sent = 0; ///< To a subscriber: members_version.
         std::uint64_t last_report = 0;          ///< From a subscriber: number of its latest report.
         fleet::report_echoes echoes;            ///< To a hub: the reports that were sent.
@@ -117,7 +114,9 @@
 
     asio::awaitable<void> serve_subscriber(link_pointer subscriber);
     asio::awaitable<void> send_updates(link_pointer subscriber);
+    /// Sends the changes that the subscriber lacks, and the age of the replica.
     void send_changes(link& subscriber);
+    void log_snapshot(const encoded_update& update);
     void send_fleet(link& subscriber);
     void answer_grant_request(link& subscriber, const fleet::ask_message& request);
     asio::awaitable<void> subscribe(std::string address);
@@ -131,8 +130,7 @@
     core::duration measure_delay(const std::string& address, link& hub,
                                  const fleet::update_message& update);
     void report_fleet_view();
-    /// Returns the size of the frame in bytes.
-    std::size_t send(link& to, const fleet::hub_message& message);
+    void send(link& to, const fleet::hub_message& message);
     asio::awaitable<std::optional<fleet::hub_message>> receive(link& from);
     asio::awaitable<void> wait_for_notification(link& connection, core::duration time);
     static void close(link& connection);
@@ -147,6 +145,7 @@
     fleet::member_cache member_cache_;
     std::unordered_set<link_pointer> subscribers_;
     std::unordered_map<std::string, link_pointer> hubs_; ///< By address.
+    shared_update shared_update_;
     grant_requests grant_requests_;
     std::optional<std::string> primary_hub_; ///< Address; may be this daemon's own.
     bool received_update_ = false;
--- a/test/correctness/fleet/hub_messages_test.cpp
+++ b/test/correctness/fleet/hub_messages_test.cpp
@@ -13,13 +13,18 @@
 
 std::vector<hub_message> samples()
 {
-    return {hello_message{.self = {"vm-1", "10.0.0.1:7"}, .incarnation = 77, .revision = 12},
-            report_message{.primary = true, .selection_rate = 12.5F},
+    return {hello_message{.self = {"vm-1", "10.0.0.1:7"},
+                          .incarnation = 77,
+                          .revision = 12,
+                          .accepts_compressed = true},
+            report_message{.primary = true, .selection_rate = 12.5F, .number = 4},
             update_message{.revision = 9,
                            .complete = true,
                            .age = 1500us,
+                           .last_report = 4,
                            .changes = {{"servers/a", std::string("{}\0x", 4), 8},
-                                       {"servers/b", std::nullopt, 9}}},
+                                       {"servers/b", std::nullopt, 9},
+                                       {.key = "c", .revision = 2, .unchanged = true}}},
             fleet_message{.members_known = 3,
                           .settled = true,
                           .selection_rate = 99.0F,
@@ -72,5 +77,28 @@
     EXPECT_FALSE(decode("no message"));
 }
 
+// Guards against a large message that is lost in compression, and against a compressed one from a
+// faulty peer that crashes the daemon or takes more memory than a message may.
+TEST(hub_messages, a_compressed_message_is_read_as_it_was_or_rejected)
+{
+    update_message update{.revision = 9, .complete = true};
+    for (int i = 0; i < 300; ++i)
+    {
+        update.changes.push_back({"servers/" + std::to_string(i), std::string(200, 'v'), 1});
+    }
+    const std::string frame = encode_frame(update, compression::allowed);
+    EXPECT_LT(frame.size(), encode_frame(update).size() / 4);
+    const std::string good = frame.substr(frame_length_bytes);
+    EXPECT_EQ(decode(good), std::optional<hub_message>(update));
+    core::random_generator random(12);
+    for (int round = 0; round < 2000; ++round)
+    {
+        EXPECT_FALSE(decode(good.substr(0, core::uniform_index(random, good.size()))));
+        std::string bad = good;
+        bad[core::uniform_index(random, bad.size())] = static_cast<char>(random());
+        decode(bad);
+    }
+}
+
 } // namespace
 } // namespace zinniaferry::fleet
--- a/test/correctness/net/hub_links_test.cpp
+++ b/test/correctness/net/hub_links_test.cpp
@@ -85,8 +85,11 @@
     asio::awaitable<void> run(asio::ip::tcp::endpoint hub, std::uint64_t revision)
     {
         co_await socket_.async_connect(hub, asio::use_awaitable);
-        const std::string hello = fleet::encode_frame(fleet::hello_message{
-            .self = {"vm-2", "127.0.0.1:2"}, .incarnation = 2, .revision = revision});
+        const std::string hello =
+            fleet::encode_frame(fleet::hello_message{.self = {"vm-2", "127.0.0.1:2"},
+                                                     .incarnation = 2,
+                                                     .revision = revision,
+                                                     .accepts_compressed = true});
         co_await asio::async_write(socket_, asio::buffer(hello), asio::use_awaitable);
         while (true)
         {
