Rank hubs by the capacity of their links

The operators' settings state each VM's capacity; members report it, and those with larger links come first.

hub_choice_test.members_with_larger_links_are_hubs_before_others: new interface, so there is no failing run before; by hash m7 and m13 are not the first two of its twenty members.

--- a/src/fleet/hub.capnp
+++ b/src/fleet/hub.capnp
@@ -18,6 +18,7 @@
     # A daemon of the fleet.
     vm @0 :Text;
     address @1 :Text;
+    linkMbps @2 :UInt32;  # 0 if not known.
 }
 
 struct Hello {
@@ -27,6 +28,7 @@
     incarnation @2 :UInt64;
     revision @3 :UInt64;
     acceptsCompressed @4 :Bool;  # The subscriber reads Compressed messages.
+    linkMbps @5 :UInt32;  # 0 if not known.
 }
 
 struct Report {
--- a/src/fleet/hub.capnp.h
+++ b/src/fleet/hub.capnp.h
@@ -57,7 +57,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fe5c020307056a8c, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(fe5c020307056a8c, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -324,6 +324,8 @@
   inline bool hasAddress() const;
   inline  ::capnp::Text::Reader getAddress() const;
 
+  inline  ::uint32_t getLinkMbps() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -366,6 +368,9 @@
   inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownAddress();
 
+  inline  ::uint32_t getLinkMbps();
+  inline void setLinkMbps( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -421,6 +426,8 @@
 
   inline bool getAcceptsCompressed() const;
 
+  inline  ::uint32_t getLinkMbps() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -472,6 +479,9 @@
   inline bool getAcceptsCompressed();
   inline void setAcceptsCompressed(bool value);
 
+  inline  ::uint32_t getLinkMbps();
+  inline void setLinkMbps( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1376,6 +1386,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Member::Reader::getLinkMbps() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Member::Builder::getLinkMbps() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setLinkMbps( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Hello::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1486,6 +1510,20 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Hello::Reader::getLinkMbps() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Hello::Builder::getLinkMbps() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setLinkMbps( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Report::Reader::getPrimary() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/fleet/hub_choice.cpp
+++ b/src/fleet/hub_choice.cpp
@@ -57,6 +57,15 @@
     return found == choice.candidates.end() ? nullptr : &*found;
 }
 
+bool ranks_before(const hub_candidate& a, const hub_candidate& b)
+{
+    if (a.link_mbps != b.link_mbps)
+    {
+        return a.link_mbps > b.link_mbps;
+    }
+    return core::stable_hash(a.address) < core::stable_hash(b.address);
+}
+
 bool is_reachable(const hub_candidate& candidate, core::time_point now)
 {
     return candidate.connected && now - candidate.last_heard < hub_silence_timeout;
@@ -135,22 +144,22 @@
                                                return !entry.connected && !is_member(entry.address);
                                            }),
                             choice.candidates.end());
-    const auto add = [&](const std::string& address)
+    const auto add = [&](const std::string& address, std::uint32_t link_mbps)
     {
-        if (find(choice, address) == nullptr)
+        hub_candidate* known = find(choice, address);
+        if (known == nullptr)
         {
-            choice.candidates.push_back({.address = address});
+            known = &choice.candidates.emplace_back(hub_candidate{.address = address});
         }
+        known->link_mbps = link_mbps;
     };
-    add(choice.own_address);
+    add(choice.own_address, choice.own_link_mbps);
     for (const member& entry : members)
     {
-        add(entry.address);
+        add(entry.address, entry.link_mbps);
     }
     std::sort(choice.candidates.begin() + static_cast<std::ptrdiff_t>(choice.seed_count),
-              choice.candidates.end(),
-              [](const hub_candidate& a, const hub_candidate& b)
-              { return core::stable_hash(a.address) < core::stable_hash(b.address); });
+              choice.candidates.end(), ranks_before);
 }
 
 std::vector<std::string> connections_to_open(hub_choice& choice, core::time_point now)
--- a/src/fleet/hub_choice.hpp
+++ b/src/fleet/hub_choice.hpp
@@ -1,10 +1,10 @@
 /// Selects this daemon's hubs, and decides whether it follows the platform's store itself.
 ///
 /// A hub follows the platform's store and forwards its changes to the daemons that subscribe to it.
-/// All daemons rank the candidates alike: first the seeds of the settings, then the other members
-/// by hash. The first two candidates that are reachable and current are the hubs; while too few are
-/// current, up to four stay connected. A daemon follows the store itself if it is one of its own
-/// hubs, has subscribers, or has no current hub.
+/// All daemons rank the candidates alike: first the seeds of the settings, then the other members,
+/// by the capacity of their links and by hash. The first two candidates that are reachable and
+/// current are the hubs; while too few are current, up to four stay connected. A daemon follows the
+/// store itself if it is one of its own hubs, has subscribers, or has no current hub.
 #pragma once
 
 #include "core/time.hpp"
@@ -22,7 +22,8 @@
 /// A daemon that may serve this one as a hub.
 struct hub_candidate
 {
-    std::string address; ///< Peer address: IP address and port.
+    std::string address;         ///< Peer address: IP address and port.
+    std::uint32_t link_mbps = 0; ///< Capacity of its VM's link, Mbit/s; 0 if not known.
     bool connected = false;
     core::time_point last_heard;    ///< Time of the last update, or of connecting before the first.
     core::time_point current_as_of; ///< The candidate knows all changes made before this time.
@@ -38,7 +39,8 @@
 struct hub_choice
 {
     std::string own_address;               ///< This daemon's peer address.
-    std::vector<hub_candidate> candidates; ///< Seeds first, then members in hash order.
+    std::uint32_t own_link_mbps = 0;       ///< Capacity of this VM's link, Mbit/s; 0 if not known.
+    std::vector<hub_candidate> candidates; ///< Seeds first, then members, see set_members.
     std::size_t seed_count = 0;            ///< Number of seeds at the front of `candidates`.
 };
 
@@ -47,8 +49,9 @@
 /// Replaces the seeds. Candidates that were known before keep their state.
 void set_seeds(hub_choice& choice, const std::vector<std::string>& seeds);
 
-/// Adds this daemon and the members that are not candidates yet, in the hash order that all daemons
-/// use. Removes candidates that are neither seeds, nor connected, nor in the list.
+/// Adds this daemon and the members that are not candidates yet, in the order that all daemons use:
+/// those with larger links first, because a hub sends every change to all others, and those with
+/// equal links by hash. Removes candidates that are neither seeds, nor connected, nor in the list.
 void set_members(hub_choice& choice, const std::vector<member>& members);
 
 /// Returns the addresses to connect to now, and sets connection_requested for them. The caller must
--- a/src/fleet/hub_messages.cpp
+++ b/src/fleet/hub_messages.cpp
@@ -37,6 +37,7 @@
         auto hello = out.initHello();
         hello.setVm(value.self.vm);
         hello.setAddress(value.self.address);
+        hello.setLinkMbps(value.self.link_mbps);
         hello.setIncarnation(value.incarnation);
         hello.setRevision(value.revision);
         hello.setAcceptsCompressed(value.accepts_compressed);
@@ -96,6 +97,7 @@
         {
             members[i].setVm(value.members[i].vm);
             members[i].setAddress(value.members[i].address);
+            members[i].setLinkMbps(value.members[i].link_mbps);
         }
     }
 };
@@ -138,7 +140,7 @@
     out.selection_rate = read_rate(fleet.getSelectionRate());
     for (const auto& entry : fleet.getMembers())
     {
-        out.members.push_back({text(entry.getVm()), text(entry.getAddress())});
+        out.members.push_back({text(entry.getVm()), text(entry.getAddress()), entry.getLinkMbps()});
     }
     return out;
 }
@@ -160,10 +162,11 @@
     case wire::HubMessage::HELLO:
     {
         const auto hello = message.getHello();
-        return hello_message{.self = {text(hello.getVm()), text(hello.getAddress())},
-                             .incarnation = hello.getIncarnation(),
-                             .revision = hello.getRevision(),
-                             .accepts_compressed = hello.getAcceptsCompressed()};
+        return hello_message{
+            .self = {text(hello.getVm()), text(hello.getAddress()), hello.getLinkMbps()},
+            .incarnation = hello.getIncarnation(),
+            .revision = hello.getRevision(),
+            .accepts_compressed = hello.getAcceptsCompressed()};
     }
     case wire::HubMessage::REPORT:
         return report_message{.primary = message.getReport().getPrimary(),
--- a/src/fleet/hub_messages.hpp
+++ b/src/fleet/hub_messages.hpp
@@ -19,8 +19,9 @@
 /// A daemon of the fleet.
 struct member
 {
-    std::string vm;      ///< Name of its VM.
-    std::string address; ///< Its peer address: IP address and port.
+    std::string vm;              ///< Name of its VM.
+    std::string address;         ///< Its peer address: IP address and port.
+    std::uint32_t link_mbps = 0; ///< Capacity of its VM's link, Mbit/s; 0 if not known.
 
     bool operator==(const member&) const = default;
 };
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -85,8 +85,8 @@
                     .log = options.log,
                     .random_seed = random_number()}),
           sessions_{.gateway = gateway_},
-          links_(io_, {options.vm, options.peer_address}, random_number(), replica_, gateway_.log,
-                 link_callbacks())
+          links_(io_, {options.vm, options.peer_address, options.link_mbps}, random_number(),
+                 replica_, gateway_.log, link_callbacks())
     {
         gateway_.backends.are_members_known = false;
         gateway_.request_hub_grant = [this](std::string account)
--- a/src/net/daemon.hpp
+++ b/src/net/daemon.hpp
@@ -98,6 +98,7 @@
 {
     std::string vm;
     std::string data_centre;
+    std::uint32_t link_mbps = 0;  ///< Capacity of the VM's link, Mbit/s; 0 if not known.
     std::string region;           ///< Empty when rates are not divided between regions.
     std::string caller_address;   ///< Listener for callers; IP address and port, as all here.
     std::string peer_address;     ///< Listener for other daemons.
--- a/src/net/hub_links.cpp
+++ b/src/net/hub_links.cpp
@@ -37,6 +37,7 @@
       callbacks_(std::move(callbacks)), grant_requests_(io)
 {
     choice_.own_address = self.address;
+    choice_.own_link_mbps = self.link_mbps;
     registry_.self = std::move(self);
     registry_.started = core::boot_clock_now();
     selections_counted_at_ = registry_.started;
--- a/test/correctness/fleet/hub_choice_test.cpp
+++ b/test/correctness/fleet/hub_choice_test.cpp
@@ -288,5 +288,21 @@
     EXPECT_EQ(recent_members(cache, start + 6s), strings{"vm-7"});
 }
 
+// Guards against hubs whose links cannot carry the changes: a VM with a small link that became the
+// hub of the fleet cut itself off by what it sent, although VMs with larger links were there.
+TEST_F(hub_choice_test, members_with_larger_links_are_hubs_before_others)
+{
+    choice = {.own_address = "m0", .own_link_mbps = 10};
+    std::vector<member> fleet = members(20);
+    for (member& entry : fleet)
+    {
+        entry.link_mbps = 10;
+    }
+    fleet[7].link_mbps = 1000;
+    fleet[13].link_mbps = 200;
+    set_members(choice, fleet);
+    EXPECT_EQ(connections_to_open(choice, start), (strings{"m7", "m13"}));
+}
+
 } // namespace
 } // namespace zinniaferry::fleet
