Reject a load header that repeats a name

parse_named_load counted the names it read and not which ones, so inflight=2;inflight=3;slots=6 was accepted as a reading with no waiting requests. Such a header may be two readings run together.

load_header.only_complete_load_headers_are_parsed failed before the change for that text. Run: zinnia_tests, 272 passed.

--- a/src/routing/load_reading.cpp
+++ b/src/routing/load_reading.cpp
@@ -9,8 +9,9 @@
 
 std::optional<load_reading> parse_named_load(std::string_view text, core::time_point now)
 {
-    load_reading out{.received_at = now};
-    std::size_t found = 0;
+    std::optional<std::uint32_t> running;
+    std::optional<std::uint32_t> waiting;
+    std::optional<std::uint32_t> slots;
     while (!text.empty())
     {
         const std::size_t end = std::min(text.find(';'), text.size());
@@ -22,24 +23,30 @@
             return std::nullopt;
         }
         const std::string_view name = part.substr(0, equals);
-        std::uint32_t* target = name == "inflight" ? &out.running
-                                : name == "queue"  ? &out.waiting
-                                : name == "slots"  ? &out.slots
-                                                   : nullptr;
+        std::optional<std::uint32_t>* target = name == "inflight" ? &running
+                                               : name == "queue"  ? &waiting
+                                               : name == "slots"  ? &slots
+                                                                  : nullptr;
         const std::string_view value = part.substr(equals + 1);
         if (target != nullptr)
         {
+            const bool repeated = target->has_value();
             const char* last = value.data() + value.size();
-            const auto [parsed, error] = std::from_chars(value.data(), last, *target);
-            if (error != std::errc() || parsed != last)
+            const auto [parsed, error] = std::from_chars(value.data(), last, target->emplace());
+            if (repeated || error != std::errc() || parsed != last)
             {
                 return std::nullopt;
             }
-            ++found;
         }
     }
-    out.slots = std::max(1U, out.slots);
-    return found == 3 ? std::optional(out) : std::nullopt;
+    if (!running || !waiting || !slots)
+    {
+        return std::nullopt;
+    }
+    return load_reading{.running = *running,
+                        .waiting = *waiting,
+                        .slots = std::max(1U, *slots),
+                        .received_at = now};
 }
 
 std::optional<load_reading> parse_positional_load(std::string_view text, core::time_point now)
--- a/src/routing/load_reading.hpp
+++ b/src/routing/load_reading.hpp
@@ -26,7 +26,8 @@
 /// Parses "running,waiting,slots[,slowdown in hundredths]". Thread safe.
 std::optional<load_reading> parse_positional_load(std::string_view text, core::time_point now);
 
-/// Parses "inflight=I;queue=Q;slots=S;state=STATE". Other names are ignored. Thread safe.
+/// Parses "inflight=I;queue=Q;slots=S;state=STATE". Other names are ignored; each of
+/// the first three must be there once. Thread safe.
 std::optional<load_reading> parse_named_load(std::string_view text, core::time_point now);
 
 } // namespace zinniaferry::routing
--- a/test/correctness/routing/backends_test.cpp
+++ b/test/correctness/routing/backends_test.cpp
@@ -268,7 +268,8 @@
         EXPECT_FALSE(parse_positional_load(text, start)) << text;
     }
     EXPECT_EQ(parse_named_load("inflight=2;queue=1;slots=6;state=serving", start)->waiting, 1U);
-    for (const char* text : {"", "inflight=2;queue=1", "inflight=x;queue=1;slots=2", "hello"})
+    for (const char* text : {"", "inflight=2;queue=1", "inflight=x;queue=1;slots=2", "hello",
+                             "inflight=2;inflight=3;slots=6", "inflight=2;queue=1;slots=6;queue=9"})
     {
         EXPECT_FALSE(parse_named_load(text, start)) << text;
     }
