Show slowness in the state dump as the selection counts it

The dump wrote the stored average without its decay, unlike the error rate beside it: a server that was slow for a moment stayed at 5.0 in the dump until its next response, though it was selected as one at usual speed.

--- a/src/routing/backends.cpp
+++ b/src/routing/backends.cpp
@@ -316,7 +316,7 @@
                        {"state", to_string(server->state)},
                        {"in_flight", server->in_flight},
                        {"error_rate", error_rate(*server, now)},
-                       {"slowness", server->slowness}});
+                       {"slowness", slowness(*server, now)}});
     }
     return out;
 }
--- a/test/correctness/routing/backends_test.cpp
+++ b/test/correctness/routing/backends_test.cpp
@@ -275,6 +275,21 @@
     }
 }
 
+// Guards against a dump that shows a server as slow although it is selected as one at usual speed.
+TEST_F(backends_test, the_dump_shows_slowness_as_the_selection_counts_it)
+{
+    apply_listing(set, listing("a"), start);
+    server("a").slowness = 5.0;
+    server("a").slowness_updated_at = start;
+    const auto dumped_slowness = [&](core::time_point now)
+    {
+        return dump(set, now).at(0).at("slowness").as_double();
+    };
+    EXPECT_EQ(dumped_slowness(start), 5.0);
+    EXPECT_EQ(dumped_slowness(start + 30s), slowness(server("a"), start + 30s));
+    EXPECT_LT(dumped_slowness(start + 1h), 1.001);
+}
+
 // Guards against requests that wait at full servers until they are late, and against those that
 // exceed the server's queue, whose connection the server closes without a response.
 TEST_F(backends_test, a_full_server_has_capacity_only_for_requests_that_can_wait)
