Print the stand-in's count of requests addressed to another server

backend_counters::misdirected was counted and left out of /control/counters, of each server and of the sum.

backend_test.the_counters_show_requests_addressed_to_another_server failed before the change: the field was missing.

--- a/src/stand_in/backend_control.cpp
+++ b/src/stand_in/backend_control.cpp
@@ -34,7 +34,8 @@
             {"while_draining", counters.while_draining},
             {"cold_overruns", counters.cold_overruns},
             {"key_headers", counters.key_headers},
-            {"probes", counters.probes}};
+            {"probes", counters.probes},
+            {"misdirected", counters.misdirected}};
 }
 
 void add_counters(backend_counters& sum, const backend_counters& counters)
@@ -49,6 +50,7 @@
     sum.cold_overruns += counters.cold_overruns;
     sum.key_headers += counters.key_headers;
     sum.probes += counters.probes;
+    sum.misdirected += counters.misdirected;
 }
 
 http_response counters_response(backend_group& group)
--- a/test/correctness/stand_in/backend_test.cpp
+++ b/test/correctness/stand_in/backend_test.cpp
@@ -223,6 +223,21 @@
     std::remove(file.c_str());
 }
 
+// Guards against requests to the wrong server that are counted and not shown.
+TEST_F(backend_test, the_counters_show_requests_addressed_to_another_server)
+{
+    make_group({.count = 2, .service_time = milliseconds(0.0)});
+    const auto misdirected = make_work_request({{"x-zinnia-expected-server", "service-2"}});
+    EXPECT_EQ(get_response(context, handler, misdirected).status, 421U);
+    const http_response response = get_response(context, make_backend_control(*group),
+                                                make_request("GET", "/control/counters"));
+    const auto counters = boost::json::parse(response.body);
+    ASSERT_TRUE(counters.as_object().contains("misdirected")) << response.body;
+    EXPECT_EQ(counters.at("misdirected"), 1);
+    EXPECT_EQ(counters.at("servers").at(0).at("misdirected"), 1);
+    EXPECT_EQ(counters.at("servers").at(1).at("misdirected"), 0);
+}
+
 // Guards against accepting the response to another request, or a truncated one, as the right one.
 TEST(answer_test, detects_crossed_and_truncated_responses)
 {
