Check the ranges of the platform's bounds

A known bound was taken as it came: a negative slack, a window of 0 that rates are divided by, NaN, or a grace period whose conversion to nanoseconds overflows. A known bound whose text was not a number, or overflowed a double, was ignored and the default used without a word.

Each known bound has a range; a value outside it, or one that is not a number, is a document_error with the path /bounds/NAME. Unknown fields, unknown bounds and entries that are not text are ignored as before. A reload that fails keeps the previous settings, as before.

--- a/test/correctness/platform/decode_test.cpp
+++ b/test/correctness/platform/decode_test.cpp
@@ -1,8 +1,13 @@
 #include "platform/decode.hpp"
+
+#include "platform/adapter.hpp"
 #include "platform/settings.hpp"
 
 #include <gtest/gtest.h>
 
+#include <cstdio>
+#include <fstream>
+
 namespace zinniaferry::platform
 {
 namespace
@@ -173,5 +178,47 @@
     EXPECT_EQ(error_path("[]"), "$");
 }
 
+std::string with_bound(const std::string& bound)
+{
+    return replaced(settings_text, "\"x=y\"", "\"" + bound + "\"");
+}
+
+// Guards against a daemon that runs with a bound that makes no sense: a negative slack, a window
+// that is divided by zero, or a duration that overflows.
+TEST(platform_settings, a_bound_out_of_range_is_named)
+{
+    for (const std::string name :
+         {"retry-budget-ratio", "budget-slack", "probes-per-s", "quota-overage", "quota-slack",
+          "warmup-overage", "warmup-slack", "grace-s"})
+    {
+        for (const char* value : {"-0.1", "nan", "inf", "-inf", "1e300", "1e999", "1e9", "", "x"})
+        {
+            EXPECT_EQ(error_path(with_bound(name + "=" + value)), "/bounds/" + name) << value;
+            EXPECT_EQ(error_path(with_bound("new-" + name + "=" + value)), "no error") << value;
+        }
+        EXPECT_EQ(error_path(with_bound(name + "=0")), "no error");
+    }
+    for (const char* value : {"0", "-5", "nan", "1e9"})
+    {
+        EXPECT_EQ(
+            error_path(replaced(settings_text, "window-s=5", std::string("window-s=") + value)),
+            "/bounds/quota-window-s")
+            << value;
+    }
+}
+
+// Guards against a reload that applies a part of invalid settings.
+TEST(platform_settings, a_reload_of_invalid_settings_fails)
+{
+    const std::string file = testing::TempDir() + "platform_settings_test.json";
+    const net::daemon_options options =
+        make_daemon_options(read_settings(settings_text, file).value(), file);
+    std::ofstream(file) << with_bound("grace-s=-1");
+    EXPECT_FALSE(options.reload());
+    std::ofstream(file) << with_bound("grace-s=4");
+    EXPECT_EQ(options.reload().value().stop_grace, 4s);
+    std::remove(file.c_str());
+}
+
 } // namespace
 } // namespace zinniaferry::platform
