Count only successes as answered in the load generator

classify_response called every complete body of a stand-in server answered, whatever the status, so a daemon that turned a response into a 500 would have looked healthy, and the request was not repeated. A failure with such a body has the outcome unknown: the server may have executed the request. The verdict stays whole.

client.reports_the_outcome_of_failures failed before the change for 302, 404, 500 and 504 (answered).

--- a/src/load/client.cpp
+++ b/src/load/client.cpp
@@ -154,7 +154,8 @@
     switch (stand_in::check_response_body(body, path_and_query))
     {
     case body_check::whole:
-        result.outcome = outcome::answered;
+        // The server may have executed a request that it responds to with a failure.
+        result.outcome = is_success ? outcome::answered : outcome::unknown;
         result.verdict = verdict::whole;
         return result;
     case body_check::crossed:
--- a/src/load/report.hpp
+++ b/src/load/report.hpp
@@ -15,7 +15,7 @@
 /// Whether a request was executed, as far as the client can know.
 enum class outcome
 {
-    answered, ///< The client received a complete and matching response.
+    answered, ///< The client received a complete and matching response with a success status.
     not_run,  ///< Certainly not executed: never sent, or reported so by an error response.
     unknown   ///< May have been executed.
 };
--- a/test/correctness/load/load_run_test.cpp
+++ b/test/correctness/load/load_run_test.cpp
@@ -67,6 +67,13 @@
     EXPECT_EQ(
         request_once(always(stand_in::json_response(504, R"({"outcome": "unknown"})"))).outcome,
         outcome::unknown);
+    const std::string own = stand_in::make_response_body("r", "s", "/x?id=1", 64);
+    for (const unsigned status : {302U, 404U, 500U, 504U})
+    {
+        const request_result failed = request_once(always(stand_in::json_response(status, own)));
+        EXPECT_EQ(failed.outcome, outcome::unknown) << status;
+        EXPECT_EQ(failed.verdict, verdict::whole) << status;
+    }
     const request_result cut = request_once(always({.reset_connection = true}));
     EXPECT_EQ(cut.verdict, verdict::cut);
     EXPECT_EQ(cut.outcome, outcome::unknown);
