Leave limited requests out of the load generator's sent ones

The report has `due` for all of them besides; bench/added_latency.sh compares the answered requests with `due`, so that its checks of unanswered requests and of a sustained rate stay as strict as before.

--- a/bench/added_latency.sh
+++ b/bench/added_latency.sh
@@ -69,7 +69,7 @@
     "$build/bin/zinnia_load" --target "$1" --mix "$bench_folder/mix.json" --rate "$2" --duration "$3" --seed "$4" --json
 }
 
-# TARGETS RATE SEED: prints "ANSWERED SENT P50 P99 PROCESSOR WAITED" of a run, after a short run that only opens
+# TARGETS RATE SEED: prints "ANSWERED DUE P50 P99 PROCESSOR WAITED" of a run, after a short run that only opens
 # connections. P50 and P99 are latencies in ms. PROCESSOR is the daemon's processor time during the run, in seconds.
 # WAITED is the percentage of the run in which the daemon was runnable but had no processor: on a shared machine other
 # processes cause that delay, not the daemon.
@@ -81,30 +81,30 @@
     report=$(run_load "$1" "$2" "$run_s" "$3")
     after=$(processor_seconds "$daemon")
     waited_after=$(cut -d' ' -f2 "/proc/$daemon/schedstat")
-    echo "$(first_json_number "$report" answered) $(first_json_number "$report" sent) $(first_json_number "$report" p50)" \
+    echo "$(first_json_number "$report" answered) $(first_json_number "$report" due) $(first_json_number "$report" p50)" \
         "$(first_json_number "$report" p99) $(awk "BEGIN { print $after - $before, ($waited_after - $waited_before) / 1e7 / $run_s }")"
 }
 
-# ANSWERED SENT P50: a rate is sustained if 99.9 % of requests are answered and the median is below 5 ms. With a growing
+# ANSWERED DUE P50: a rate is sustained if 99.9 % of requests are answered and the median is below 5 ms. With a growing
 # queue the median would be far above the service time of 0.2 ms.
-is_sustained() { awk -v answered="$1" -v sent="$2" -v p50="$3" 'BEGIN { exit !(answered >= 0.999 * sent && p50 < 5) }'; }
+is_sustained() { awk -v answered="$1" -v due="$2" -v p50="$3" 'BEGIN { exit !(answered >= 0.999 * due && p50 < 5) }'; }
 
 # Prints the result lines of one rate: medians over the repeats.
 measure_rate() { # RATE
-    local round answered sent p50 p99 processor waited direct50 direct99 values=$bench_folder name=added_latency/$1
+    local round answered due p50 p99 processor waited direct50 direct99 values=$bench_folder name=added_latency/$1
     rm -f "$values"/*.values
     for ((round = 1; round <= repeats; round++)); do
-        read -r answered sent direct50 direct99 processor waited < <(measure_run "$direct_targets" "$1" "$round")
-        read -r answered sent p50 p99 processor waited < <(measure_run $ip:$callers_port "$1" "$round")
+        read -r answered due direct50 direct99 processor waited < <(measure_run "$direct_targets" "$1" "$round")
+        read -r answered due p50 p99 processor waited < <(measure_run $ip:$callers_port "$1" "$round")
         log_message "$1 requests/s, round $round of $repeats, load average $(load_average):" \
-            "direct p50 $direct50 p99 $direct99 ms, through p50 $p50 p99 $p99 ms, $answered of $sent answered, daemon runnable without a processor for $waited% of the time"
+            "direct p50 $direct50 p99 $direct99 ms, through p50 $p50 p99 $p99 ms, $answered of $due answered, daemon runnable without a processor for $waited% of the time"
         echo "$direct50" >>"$values/direct50.values"
         echo "$direct99" >>"$values/direct99.values"
         awk "BEGIN { print $p50 - $direct50 }" >>"$values/added50.values"
         awk "BEGIN { print $p99 - $direct99 }" >>"$values/added99.values"
         awk "BEGIN { print $answered / ($processor > 0 ? $processor : 0.01) }" >>"$values/per_core.values"
         echo "$waited" >>"$values/waited.values"
-        awk "BEGIN { print $sent - $answered }" >>"$values/unanswered.values"
+        awk "BEGIN { print $due - $answered }" >>"$values/unanswered.values"
     done
     print_result "$name/p50" "$(median <"$values/added50.values")" ms null "$(median <"$values/direct50.values")"
     print_result "$name/p99" "$(median <"$values/added99.values")" ms $added_p99_bound_ms "$(median <"$values/direct99.values")"
@@ -118,9 +118,9 @@
 for rate in $rates; do measure_rate "$rate"; done
 highest=0
 for rate in $search_rates; do
-    read -r answered sent p50 p99 _ < <(measure_run $ip:$callers_port "$rate" 1)
-    log_message "search: $rate requests/s, load average $(load_average): $answered of $sent answered, p50 $p50 p99 $p99 ms"
-    if ! is_sustained "${answered:-0}" "${sent:-1}" "${p50:-1000}"; then break; fi
+    read -r answered due p50 p99 _ < <(measure_run $ip:$callers_port "$rate" 1)
+    log_message "search: $rate requests/s, load average $(load_average): $answered of $due answered, p50 $p50 p99 $p99 ms"
+    if ! is_sustained "${answered:-0}" "${due:-1}" "${p50:-1000}"; then break; fi
     highest=$rate
 done
 if ((highest > 0)); then
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -44,7 +44,8 @@
 
 void count_request(request_stats& stats, const request_record& entry)
 {
-    ++stats.sent;
+    ++stats.due;
+    stats.sent += entry.verdict == verdict::limited ? 0 : 1;
     ++stats.outcomes[to_string(entry.outcome)];
     ++stats.verdicts[to_string(entry.verdict)];
     ++stats.statuses[entry.status];
@@ -68,7 +69,7 @@
 
 json::object to_json(const request_stats& stats)
 {
-    json::object out{{"sent", stats.sent}};
+    json::object out{{"due", stats.due}, {"sent", stats.sent}};
     out["outcomes"] = json::value_from(stats.outcomes);
     out["verdicts"] = json::value_from(stats.verdicts);
     json::object statuses;
--- a/src/load/report.hpp
+++ b/src/load/report.hpp
@@ -63,7 +63,8 @@
 /// Counts and latencies of a route, of an account or of the whole run.
 struct request_stats
 {
-    std::uint64_t sent = 0; ///< All recorded requests, also those with the verdict `limited`.
+    std::uint64_t due = 0;  ///< All recorded requests, also those with the verdict `limited`.
+    std::uint64_t sent = 0; ///< Without those with the verdict `limited`.
     std::map<std::string, std::uint64_t> outcomes;
     std::map<std::string, std::uint64_t> verdicts;
     std::map<unsigned, std::uint64_t> statuses;   ///< By HTTP status; 0 without a response.
--- a/test/correctness/load/load_run_test.cpp
+++ b/test/correctness/load/load_run_test.cpp
@@ -154,6 +154,25 @@
     EXPECT_EQ(violation_count(result), result.repeated_keys);
 }
 
+// Guards against a rate of sent requests that includes those which were never sent.
+TEST(report, limited_requests_are_not_counted_as_sent)
+{
+    run_report report;
+    count_request(report, {.route = "r", .account = "a", .verdict = verdict::whole});
+    const request_record limited = {
+        .route = "r", .account = "a", .outcome = outcome::not_run, .verdict = verdict::limited};
+    count_request(report, limited);
+    count_request(report, limited);
+    for (const request_stats& stats :
+         {report.total, report.routes.at("r"), report.accounts.at("a")})
+    {
+        EXPECT_EQ(stats.due, 3U);
+        EXPECT_EQ(stats.sent, 1U);
+        EXPECT_EQ(stats.verdicts.at("limited"), 2U);
+        EXPECT_EQ(stats.outcomes.at("not_run"), 2U);
+    }
+}
+
 // Guards against percentiles that are wrong by more than a bucket (1%), and against a maximum that
 // is rounded or lost.
 TEST(report, percentiles_are_within_one_bucket)
