--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -152,6 +152,7 @@
         gateway.log.write("servers", "listed",
                           {{"server", server.id},
                            {"service", server.service},
+                           {"incarnation", server.incarnation},
                            {"draining", server.draining},
                            {"warmup_ms", core::to_milliseconds(server.warmup_left)}});
     }
