Follow the configuration service only when the daemon must

The follower also called the service while the replica was not complete, so every daemon that started called it at once, although its hub sends it the configuration: a fleet that restarts called a service of a limited call rate once a daemon.

configuration_service.a_daemon_that_need_not_follow_makes_no_calls failed before the change (1 call, complete replica).

--- a/src/net/configuration_service.cpp
+++ b/src/net/configuration_service.cpp
@@ -88,7 +88,7 @@
     bool reachable = true;
     while (true)
     {
-        if (!context.must_follow() && context.replica.complete)
+        if (!context.must_follow())
         {
             co_await pause(context.io);
             continue;
