--- a/test/correctness/load/load_run_test.cpp
+++ b/test/correctness/load/load_run_test.cpp
@@ -67,6 +67,13 @@
     EXPECT_EQ(
         request_once(always(stand_in::json_response(504, R"({"outcome": "unknown"})"))).outcome,
         outcome::unknown);
+    const std::string own = stand_in::make_response_body("r", "s", "/x?id=1", 64);
+    for (const unsigned status : {302U, 404U, 500U, 504U})
+    {
+        const request_result failed = request_once(always(stand_in::json_response(status, own)));
+        EXPECT_EQ(failed.outcome, outcome::unknown) << status;
+        EXPECT_EQ(failed.verdict, verdict::whole) << status;
+    }
     const request_result cut = request_once(always({.reset_connection = true}));
     EXPECT_EQ(cut.verdict, verdict::cut);
     EXPECT_EQ(cut.outcome, outcome::unknown);
@@ -147,6 +154,25 @@
     EXPECT_EQ(violation_count(result), result.repeated_keys);
 }
 
+// Guards against a rate of sent requests that includes those which were never sent.
+TEST(report, limited_requests_are_not_counted_as_sent)
+{
+    run_report report;
+    count_request(report, {.route = "r", .account = "a", .verdict = verdict::whole});
+    const request_record limited = {
+        .route = "r", .account = "a", .outcome = outcome::not_run, .verdict = verdict::limited};
+    count_request(report, limited);
+    count_request(report, limited);
+    for (const request_stats& stats :
+         {report.total, report.routes.at("r"), report.accounts.at("a")})
+    {
+        EXPECT_EQ(stats.due, 3U);
+        EXPECT_EQ(stats.sent, 1U);
+        EXPECT_EQ(stats.verdicts.at("limited"), 2U);
+        EXPECT_EQ(stats.outcomes.at("not_run"), 2U);
+    }
+}
+
 // Guards against percentiles that are wrong by more than a bucket (1%), and against a maximum that
 // is rounded or lost.
 TEST(report, percentiles_are_within_one_bucket)
