--- a/src/net/hub_links.cpp
+++ b/src/net/hub_links.cpp
@@ -71,9 +71,9 @@
     connection.notification_pending = false;
 }
 
-void hub_links::send(link& to, const fleet::hub_message& message)
+void hub_links::send(link& to, const fleet::hub_message& message, fleet::compression mode)
 {
-    const auto frame = std::make_shared<const std::string>(fleet::encode_frame(message));
+    const auto frame = std::make_shared<const std::string>(fleet::encode_frame(message, mode));
     counters_.bytes_out += frame->size();
     queue_frame(to, frame);
 }
@@ -205,8 +205,10 @@
     const core::time_point now = core::boot_clock_now();
     const bool members_unchanged = subscriber.members_version_sent == registry_.members_version;
     subscriber.members_version_sent = registry_.members_version;
-    send(subscriber, members_unchanged ? fleet::make_fleet_summary(registry_, now)
-                                       : fleet::make_fleet_message(registry_, now));
+    send(subscriber,
+         members_unchanged ? fleet::make_fleet_summary(registry_, now)
+                           : fleet::make_fleet_message(registry_, now),
+         subscriber.position.compression);
 }
 
 void hub_links::notify_subscribers()
--- a/src/net/hub_links.hpp
+++ b/src/net/hub_links.hpp
@@ -130,7 +130,8 @@
     core::duration measure_delay(const std::string& address, link& hub,
                                  const fleet::update_message& update);
     void report_fleet_view();
-    void send(link& to, const fleet::hub_message& message);
+    void send(link& to, const fleet::hub_message& message,
+              fleet::compression mode = fleet::compression::off);
     asio::awaitable<std::optional<fleet::hub_message>> receive(link& from);
     asio::awaitable<void> wait_for_notification(link& connection, core::duration time);
     static void close(link& connection);
--- a/test/correctness/fleet/hub_messages_test.cpp
+++ b/test/correctness/fleet/hub_messages_test.cpp
@@ -100,5 +100,21 @@
     }
 }
 
+// Guards against the list of a large fleet that fills the link of a hub whenever a member joins or
+// leaves.
+TEST(hub_messages, the_list_of_a_large_fleet_is_small_when_compressed)
+{
+    fleet_message list{.members_known = 111};
+    for (int i = 0; i < 111; ++i)
+    {
+        list.members.push_back({.vm = "front-gampola-" + std::to_string(i),
+                                .address = "10.4.0." + std::to_string(i) + ":8707",
+                                .link_mbps = 10});
+    }
+    const std::string frame = encode_frame(list, compression::allowed);
+    EXPECT_LT(frame.size(), encode_frame(list).size() / 4);
+    EXPECT_EQ(decode(frame.substr(frame_length_bytes)), std::optional<hub_message>(list));
+}
+
 } // namespace
 } // namespace zinniaferry::fleet
