Read a large response over a slow link to its end, and date watches by what they show

Each page had 0.5 s and each watch 1.3 s in all, so the transfer was given up, repeated from its start, and kept the link full. A response that has begun is now read as long as bytes come.

A watch's response counted as current when it was read, however long it had waited in a full link or while the VM was suspended. Without changes it dates from the end of the wait; a late one with changes from its request.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -3,6 +3,8 @@
 #include "net/await_error.hpp"
 #include "net/endpoint.hpp"
 
+#include <algorithm>
+
 namespace zinniaferry::net
 {
 
@@ -11,6 +13,12 @@
 
 using boost::system::error_code;
 
+/// A response that has begun is read as long as bytes come at least this often: a slow link may
+/// need longer than the timeout for a large one.
+constexpr core::duration progress_timeout = std::chrono::milliseconds(500);
+/// Longest time for reading a response after its timeout.
+constexpr core::duration max_transfer_time = std::chrono::seconds(10);
+
 } // namespace
 
 http_client::http_client(asio::io_context& io, std::string address, std::uint64_t max_body_bytes)
@@ -56,9 +64,15 @@
     co_await http::async_write(socket_, request, redirect_error_to(error));
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_body_bytes_);
-    if (!error)
+    const core::time_point give_up_at = core::boot_clock_now() + timeout + max_transfer_time;
+    while (!error && !parser.is_done())
     {
-        co_await http::async_read(socket_, buffer_, parser, redirect_error_to(error));
+        const std::size_t received =
+            co_await http::async_read_some(socket_, buffer_, parser, redirect_error_to(error));
+        if (received > 0)
+        {
+            timer_.expires_at(std::min(give_up_at, core::boot_clock_now() + progress_timeout));
+        }
     }
     timer_.clear();
     if (error || parser.need_eof())
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -24,8 +24,8 @@
     http_client(boost::asio::io_context& io, std::string address, std::uint64_t max_body_bytes);
 
     /// Sends GET `target` and reads the complete response, whatever its status. Returns nothing on
-    /// any failure or after `timeout`. Precondition: no other request is pending. Thread safety:
-    /// the io_context's thread only.
+    /// any failure, if no byte of it came within `timeout`, or if it then stopped coming.
+    /// Precondition: no other request is pending. Thread safety: the io_context's thread only.
     boost::asio::awaitable<std::optional<http_response>> get(std::string target,
                                                              core::duration timeout);
 
--- a/test/correctness/platform/store_follower_test.cpp
+++ b/test/correctness/platform/store_follower_test.cpp
@@ -134,5 +134,16 @@
     EXPECT_LE(store.call_count - before, 8U);
 }
 
+// Guards against a replica that counts as current because a response to a watch was read late,
+// after it had waited in a full link or while the VM was suspended.
+TEST(watch_current_as_of, a_response_that_was_delayed_is_as_old_as_it_may_be)
+{
+    constexpr core::time_point sent{1000s};
+    EXPECT_EQ(watch_current_as_of(sent, sent + 300ms, true), sent + 300ms);
+    EXPECT_EQ(watch_current_as_of(sent, sent + 5s, true), sent);
+    EXPECT_EQ(watch_current_as_of(sent, sent + 5s, false), sent + 1s);
+    EXPECT_EQ(watch_current_as_of(sent, sent + 999ms, false), sent + 999ms);
+}
+
 } // namespace
 } // namespace zinniaferry::platform
