Date an unchanged configuration by the end of the long poll

The own configuration service's replica counted as current as of the request of a long poll of one second, so hubs were stale for part of each second and every daemon polled the service.

--- a/src/net/configuration_service.cpp
+++ b/src/net/configuration_service.cpp
@@ -117,7 +117,11 @@
         }
         else if (status == 304)
         {
-            context.replica.current_as_of = std::max(context.replica.current_as_of, requested_at);
+            // The service answers so at the end of the wait.
+            context.replica.current_as_of =
+                std::max(context.replica.current_as_of,
+                         std::min(core::boot_clock_now(), requested_at + long_poll_wait));
+            context.on_changes({});
         }
         else
         {
