Let a frame take longer than two seconds while the peer reads

A frame had to be written within 2 s in all. On a small link a large one for each of 110 subscribers takes longer, so that all were disconnected and began again. The limit is for progress.

--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -3,7 +3,6 @@
 #include "net/await_error.hpp"
 
 #include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/endian/conversion.hpp>
 
 #include <array>
@@ -16,6 +15,7 @@
 
 using boost::system::error_code;
 
+/// For any part of a frame.
 constexpr core::duration write_timeout = std::chrono::seconds(2);
 constexpr std::size_t max_outbox_frames = 1024;
 
@@ -39,6 +39,22 @@
     return out;
 }
 
+// Returns an error if the peer reads nothing for the timeout. A large frame on a slow link may take
+// longer in all.
+asio::awaitable<error_code> write_frame(peer_link& link, const std::string& frame)
+{
+    error_code error;
+    std::size_t written = 0;
+    while (!error && written < frame.size())
+    {
+        link.write_timer.expires_after(write_timeout);
+        written += co_await link.socket.async_write_some(
+            asio::buffer(frame.data() + written, frame.size() - written), redirect_error_to(error));
+    }
+    link.write_timer.clear();
+    co_return error;
+}
+
 } // namespace
 
 void close_link(peer_link& link)
@@ -73,9 +89,7 @@
         }
         const frame_pointer frame = std::move(link->outbox.front());
         link->outbox.pop_front();
-        link->write_timer.expires_after(write_timeout);
-        co_await asio::async_write(link->socket, asio::buffer(*frame), redirect_error_to(error));
-        link->write_timer.clear();
+        error = co_await write_frame(*link, *frame);
     }
     close_link(*link);
 }
--- a/src/net/peer_link.hpp
+++ b/src/net/peer_link.hpp
@@ -32,7 +32,7 @@
     }
 
     asio::ip::tcp::socket socket;
-    deadline_timer write_timer;       ///< Limits each write.
+    deadline_timer write_timer;       ///< Limits the time without progress of a write.
     asio::steady_timer outbox_filled; ///< Cancelled to wake write_frames.
     std::deque<frame_pointer> outbox; ///< Frames to be written.
     bool closed = false;
