Count a configuration as outdated while its successor cannot be decoded

The daemon kept the older configuration, counted it as current, and refused as unknown what the newer one may allow.

--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -206,11 +206,11 @@
     // Applies changed entries to the gateway, and forwards them to the subscribers.
     void apply_changes(const std::vector<fleet::entry_change>& changes)
     {
-        gateway_.configuration_current_as_of = replica_.current_as_of;
         for (const fleet::entry_change& change : changes)
         {
             apply_change(change);
         }
+        set_configuration_current_as_of(gateway_, replica_.current_as_of);
         if (!changes.empty())
         {
             links_.notify_subscribers();
@@ -262,6 +262,7 @@
         }
         else if (std::holds_alternative<unreadable_entry>(meaning))
         {
+            gateway_.newer_configuration_unreadable = true;
             gateway_.log.write("platform", "unreadable",
                                {{"key", change.key}, {"revision", change.revision}});
         }
--- a/src/net/daemon.hpp
+++ b/src/net/daemon.hpp
@@ -39,7 +39,7 @@
     bool in_service = true;
 };
 
-/// An entry whose value is malformed.
+/// A configuration that cannot be decoded.
 struct unreadable_entry
 {
 };
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -128,6 +128,7 @@
     {
         return false;
     }
+    gateway.newer_configuration_unreadable = false;
     gateway.log.write("configuration", "in_force",
                       {{"version", config->version}, {"before", current_version}});
     gateway.accounts.region_share = config::region_share(*config, gateway.options.region);
@@ -145,6 +146,14 @@
     return true;
 }
 
+void set_configuration_current_as_of(gateway& gateway, core::time_point time)
+{
+    if (!gateway.newer_configuration_unreadable)
+    {
+        gateway.configuration_current_as_of = time;
+    }
+}
+
 core::duration configuration_age(const gateway& gateway, core::time_point now)
 {
     return std::max(core::duration::zero(), now - gateway.configuration_current_as_of);
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -57,6 +57,8 @@
         configuration; ///< In force; null before the first.
     /// All versions that were published before this time are known.
     core::time_point configuration_current_as_of;
+    /// The latest published configuration could not be decoded, so the one in force is outdated.
+    bool newer_configuration_unreadable = false;
     /// Time in which a published configuration must be in force. A configuration that may have been
     /// replaced for longer does not refuse requests as unknown.
     core::duration configuration_apply_time = std::chrono::seconds(2);
@@ -84,6 +86,10 @@
 bool apply_configuration(gateway& gateway, std::shared_ptr<const config::configuration> config,
                          core::time_point now);
 
+/// Records that all configurations published before `time` are known. Has no effect while the
+/// latest one is unreadable.
+void set_configuration_current_as_of(gateway& gateway, core::time_point time);
+
 /// Returns for how long a newer configuration may have been published without this daemon knowing.
 core::duration configuration_age(const gateway& gateway, core::time_point now);
 
