Bound the age of a hub's updates by the report that they repeat, and share them between all subscribers

The delay of an update was taken from the oldest report that it did not repeat, less a usual time, and could be 1.6 s too small. An update now counts as sent when the report was that it repeats, which is a bound whatever the way does. So that the bound is close, reports come every 0.4 s and are answered at once; updates on their own come every 0.6 s.

report_echoes tests are replaced by ones for the stricter bound: the old one demanded at most 2 s where 3 s are possible. hub_links_test.subscribers_that_joined_at_different_revisions_share_later_updates, shared_update_test.

--- a/src/fleet/hub_choice.cpp
+++ b/src/fleet/hub_choice.cpp
@@ -151,7 +151,8 @@
         {
             known = &choice.candidates.emplace_back(hub_candidate{.address = address});
         }
-        known->link_mbps = link_mbps;
+        // A daemon of a version that does not report it leaves what is known.
+        known->link_mbps = link_mbps == 0 ? known->link_mbps : link_mbps;
     };
     add(choice.own_address, choice.own_link_mbps);
     for (const member& entry : members)
@@ -217,13 +218,13 @@
     }
 }
 
-void on_update(hub_choice& choice, const std::string& address, core::duration age,
+void on_update(hub_choice& choice, const std::string& address, core::time_point current_as_of,
                core::time_point now)
 {
     if (hub_candidate* candidate = find(choice, address))
     {
         candidate->last_heard = now;
-        candidate->current_as_of = now - age;
+        candidate->current_as_of = std::max(candidate->current_as_of, current_as_of);
         candidate->consecutive_failures = 0;
     }
 }
--- a/src/fleet/hub_choice.hpp
+++ b/src/fleet/hub_choice.hpp
@@ -66,8 +66,9 @@
 void on_connected(hub_choice& choice, const std::string& address, core::time_point now);
 /// Records that a connection was closed or could not be opened.
 void on_closed(hub_choice& choice, const std::string& address, core::time_point now);
-/// Records an update of the candidate, which knew all changes made until `age` ago.
-void on_update(hub_choice& choice, const std::string& address, core::duration age,
+/// Records an update of the candidate, which knew all changes made before `current_as_of`. An
+/// update that arrives out of order does not make the candidate older.
+void on_update(hub_choice& choice, const std::string& address, core::time_point current_as_of,
                core::time_point now);
 
 /// Records that the candidate answered a request for a grant in time.
--- a/src/fleet/replica.cpp
+++ b/src/fleet/replica.cpp
@@ -61,6 +61,10 @@
 
 bool apply_change(replica& replica, const entry_change& change)
 {
+    if (change.unchanged)
+    {
+        return false;
+    }
     return change.value ? write_entry(replica, change)
                         : remove_entry(replica, change.key, change.revision);
 }
@@ -85,7 +89,6 @@
     {
         present.insert(entry.key);
     }
-    std::erase_if(snapshot, [](const entry_change& entry) { return entry.unchanged; });
     std::vector<entry_change> out = apply_changes(replica, std::move(snapshot), 0);
     std::vector<std::string> gone;
     for (const auto& [key, entry] : replica.entries)
--- a/src/fleet/report_echoes.hpp
+++ b/src/fleet/report_echoes.hpp
@@ -1,6 +1,6 @@
-/// Measures how long messages take between a subscriber and a hub. The subscriber numbers its
-/// reports and the hub repeats the latest number in its updates, so that an update that waited in a
-/// full link shows its delay without a comparison of clocks.
+/// Bounds the age of a hub's updates without comparing clocks. The subscriber numbers its reports,
+/// and the hub repeats the number of the latest one in its updates: an update was sent after the
+/// report that it repeats, however long it was on its way.
 #pragma once
 
 #include "core/time.hpp"
@@ -18,11 +18,14 @@
     core::time_point sent_at;
 };
 
-/// Reports on one connection to a hub. Number 0 stands for the hello message.
+/// Reports on one connection to a hub.
 struct report_echoes
 {
     std::uint64_t last_number = 0;
-    std::deque<sent_report> unanswered; ///< Oldest first.
+    std::deque<sent_report> unanswered; ///< Oldest first; bounded.
+    /// When the latest report was sent that the hub has repeated; at first, when it was subscribed
+    /// to.
+    core::time_point echoed_sent_at;
 };
 
 /// All functions: not thread safe for the same report_echoes.
@@ -30,13 +33,10 @@
 /// Records that a report is sent. Returns its number.
 std::uint64_t on_report_sent(report_echoes& echoes, core::time_point now);
 
-/// Records an update of the hub that repeats `number`. Greater numbers than were sent have no
-/// effect beyond that of the last one.
+/// Records an update of the hub that repeats `number`. A number that was not sent has no effect.
 void on_echo(report_echoes& echoes, std::uint64_t number);
 
-/// Returns by how much longer than usual the latest update may have been on its way: the time since
-/// the oldest report was sent that the hub's updates do not repeat, less the time in which a hub
-/// usually repeats one.
-core::duration path_delay(const report_echoes& echoes, core::time_point now);
+/// Returns the earliest time at which the hub can have sent its latest update.
+core::time_point sent_after(const report_echoes& echoes);
 
 } // namespace zinniaferry::fleet
--- a/src/net/hub_links.cpp
+++ b/src/net/hub_links.cpp
@@ -16,16 +16,20 @@
 
 using boost::system::error_code;
 
-/// A hub sends the age of its replica at least this often.
-constexpr core::duration update_interval = std::chrono::milliseconds(400);
-constexpr core::duration report_interval = std::chrono::seconds(1);
+/// A hub sends the age of its replica after each report of a subscriber, and at least this often.
+constexpr core::duration update_interval = std::chrono::milliseconds(600);
+/// An update counts as sent at the time of the report that it repeats, so updates look older by up
+/// to this time.
+constexpr core::duration report_interval = std::chrono::milliseconds(400);
+constexpr core::duration fleet_interval = std::chrono::seconds(1);
+constexpr core::duration selection_rate_interval = std::chrono::seconds(1);
 /// Interval at which the choice of hubs is checked.
 constexpr core::duration hub_check_interval = std::chrono::milliseconds(200);
 /// The same while no hub is reachable.
 constexpr core::duration fast_hub_check_interval = std::chrono::milliseconds(50);
 constexpr core::duration connect_timeout = std::chrono::milliseconds(400);
-/// An update with a longer delay is logged.
-constexpr core::duration late_update_delay = std::chrono::milliseconds(500);
+/// An update that may have been on its way for longer is logged.
+constexpr core::duration late_update_time = std::chrono::milliseconds(1000);
 /// Lower bound on the fleet's size while some members may not have subscribed yet.
 constexpr std::size_t min_assumed_members = 20;
 
@@ -130,6 +134,7 @@
         if (const auto* report = std::get_if<fleet::report_message>(&*message))
         {
             subscriber->last_report = report->number;
+            notify(*subscriber);
             if (fleet::on_report(registry_, vm, *report, core::boot_clock_now()))
             {
                 report_fleet_view();
@@ -166,7 +171,7 @@
         }
         if (core::boot_clock_now() >= fleet_due)
         {
-            fleet_due = core::boot_clock_now() + report_interval;
+            fleet_due = core::boot_clock_now() + fleet_interval;
             send_fleet(*subscriber);
         }
         co_await wait_for_notification(*subscriber, update_interval);
@@ -178,9 +183,12 @@
     if (subscriber.position.sent_sequence == 0 ||
         subscriber.position.sent_sequence != replica_.sequence)
     {
+        const frame_pointer previous = shared_update_.update.frame;
         const encoded_update update =
             update_for(shared_update_, replica_, subscriber.position, core::boot_clock_now());
+        counters_.updates_encoded += update.frame == previous ? 0 : 1;
         subscriber.position.sent_sequence = replica_.sequence;
+        subscriber.position.known_revision = replica_.revision;
         counters_.bytes_out += update.frame->size();
         queue_frame(subscriber, update.frame);
         log_snapshot(update);
@@ -215,11 +223,16 @@
 {
     for (const link_pointer& subscriber : subscribers_)
     {
-        subscriber->notification_pending = true;
-        subscriber->notification.cancel();
+        notify(*subscriber);
     }
 }
 
+void hub_links::notify(link& subscriber)
+{
+    subscriber.notification_pending = true;
+    subscriber.notification.cancel();
+}
+
 asio::awaitable<void> hub_links::run()
 {
     asio::steady_timer timer(io_);
@@ -249,7 +262,7 @@
             report_at = now + report_interval;
             fleet::remove_expired_members(registry_, now);
             grant_requests_.remove_expired(now);
-            if (now - selections_counted_at_ >= report_interval)
+            if (now - selections_counted_at_ >= selection_rate_interval)
             {
                 update_selection_rate(now);
             }
@@ -310,7 +323,9 @@
 {
     set_connection_options(hub->socket);
     hubs_[address] = hub;
-    fleet::on_connected(choice_, address, core::boot_clock_now());
+    const core::time_point now = core::boot_clock_now();
+    hub->echoes.echoed_sent_at = now;
+    fleet::on_connected(choice_, address, now);
     send(*hub, fleet::hello_message{.self = registry_.self,
                                     .incarnation = incarnation_,
                                     .revision = replica_.complete ? replica_.revision : 0,
@@ -352,33 +367,35 @@
     }
 }
 
-core::duration hub_links::measure_delay(const std::string& address, link& hub,
-                                        const fleet::update_message& update)
+core::time_point hub_links::current_as_of(const std::string& address, link& hub,
+                                          const fleet::update_message& update)
 {
+    const core::time_point now = core::boot_clock_now();
     fleet::on_echo(hub.echoes, update.last_report);
-    const core::duration delay = fleet::path_delay(hub.echoes, core::boot_clock_now());
-    const bool is_late = delay >= late_update_delay;
+    const core::time_point sent_after = fleet::sent_after(hub.echoes);
+    const bool is_late = now - sent_after >= late_update_time;
     if (is_late != hub.is_late)
     {
         log_.write("peers", is_late ? "updates_late" : "updates_in_time",
-                   {{"address", address}, {"delay_ms", core::to_milliseconds(delay)}});
+                   {{"address", address},
+                    {"sent_ms_ago_at_most", core::to_milliseconds(now - sent_after)},
+                    {"hub_age_ms", core::to_milliseconds(update.age)}});
     }
     hub.is_late = is_late;
-    return delay;
+    return sent_after - update.age;
 }
 
 void hub_links::handle_update(const std::string& address, link& hub,
                               const fleet::update_message& update)
 {
-    // The update was queued, and its age determined, up to this long before it arrived.
-    const core::duration age = update.age + measure_delay(address, hub, update);
     const core::time_point now = core::boot_clock_now();
-    fleet::on_update(choice_, address, age, now);
+    const core::time_point as_of = current_as_of(address, hub, update);
+    fleet::on_update(choice_, address, as_of, now);
     received_update_ = true;
     const auto changes =
         update.complete ? fleet::apply_snapshot(replica_, update.changes, update.revision, {}, now)
                         : fleet::apply_changes(replica_, update.changes, update.revision);
-    replica_.current_as_of = std::max(replica_.current_as_of, now - age);
+    replica_.current_as_of = std::max(replica_.current_as_of, as_of);
     callbacks_.on_changes(changes);
 }
 
--- a/src/net/hub_links.hpp
+++ b/src/net/hub_links.hpp
@@ -53,8 +53,9 @@
 {
     std::uint64_t bytes_in = 0;
     std::uint64_t bytes_out = 0;
-    std::uint64_t grant_timeouts = 0; ///< Grants that the primary hub did not send in time.
-    std::uint64_t snapshots_out = 0;  ///< Sent to subscribers.
+    std::uint64_t grant_timeouts = 0;  ///< Grants that the primary hub did not send in time.
+    std::uint64_t snapshots_out = 0;   ///< Sent to subscribers.
+    std::uint64_t updates_encoded = 0; ///< Updates with changes, each for one or more subscribers.
 };
 
 /// Thread safety: the io_context's thread only. Precondition: all references outlive the hub_links.
@@ -126,9 +127,11 @@
     void update_selection_rate(core::time_point now);
     void handle_message(const std::string& address, link& hub, const fleet::hub_message& message);
     void handle_update(const std::string& address, link& hub, const fleet::update_message& update);
-    /// Returns by how much the update is older than it says, and logs when that begins and ends.
-    core::duration measure_delay(const std::string& address, link& hub,
-                                 const fleet::update_message& update);
+    /// Returns the time as of which the update is known to be current, and logs when updates begin
+    /// and cease to be late.
+    core::time_point current_as_of(const std::string& address, link& hub,
+                                   const fleet::update_message& update);
+    static void notify(link& subscriber);
     void report_fleet_view();
     void send(link& to, const fleet::hub_message& message,
               fleet::compression mode = fleet::compression::off);
--- a/src/net/shared_update.hpp
+++ b/src/net/shared_update.hpp
@@ -16,7 +16,7 @@
 {
     /// replica::sequence of the changes sent to it; 0 before its snapshot.
     std::uint64_t sent_sequence = 0;
-    std::uint64_t known_revision = 0; ///< Of its replica when it subscribed; 0 for none.
+    std::uint64_t known_revision = 0; ///< Revision that it has been brought to; 0 for none.
     fleet::compression compression = fleet::compression::off;
 
     bool operator==(const subscriber_position&) const = default;
--- a/test/correctness/fleet/hub_choice_test.cpp
+++ b/test/correctness/fleet/hub_choice_test.cpp
@@ -35,7 +35,7 @@
     void connect(const std::string& address, core::time_point now, core::duration age = 100ms)
     {
         on_connected(choice, address, now);
-        on_update(choice, address, age, now);
+        on_update(choice, address, now - age, now);
     }
 
     hub_choice choice;
@@ -157,7 +157,7 @@
     EXPECT_EQ(connections_to_open(choice, start + 300ms), (strings{"s1"}))
         << "retried after the delay";
     connect("s1", start + 310ms);
-    on_update(choice, "s2", 100ms, start + 310ms);
+    on_update(choice, "s2", start + 210ms, start + 310ms);
     EXPECT_EQ(primary_hub(choice, start + 310ms), "s1");
     EXPECT_FALSE(is_wanted(choice, "s3", start + 310ms)) << "no longer needed";
 }
--- a/test/correctness/fleet/report_echoes_test.cpp
+++ b/test/correctness/fleet/report_echoes_test.cpp
@@ -11,21 +11,35 @@
 
 constexpr core::time_point start{1000s};
 
-// Guards against an unnoticed queue on the way: reports that updates do not repeat show that the
-// updates are older than they say.
-TEST(report_echoes, an_update_that_does_not_repeat_a_report_is_as_old_as_the_report)
+// Guards against an unnoticed queue on the way: an update that repeats a report may have been sent
+// just after that report, whatever was sent later.
+TEST(report_echoes, an_update_was_sent_after_the_report_that_it_repeats)
 {
-    report_echoes echoes;
-    EXPECT_EQ(on_report_sent(echoes, start), 1U);
-    EXPECT_EQ(on_report_sent(echoes, start + 1s), 2U);
-    EXPECT_EQ(path_delay(echoes, start + 500ms), 0ms);
-    EXPECT_GE(path_delay(echoes, start + 3s), 2s);
-    EXPECT_LE(path_delay(echoes, start + 3s), 3s);
+    report_echoes echoes{.echoed_sent_at = start};
+    EXPECT_EQ(on_report_sent(echoes, start + 1s), 1U);
+    EXPECT_EQ(on_report_sent(echoes, start + 2s), 2U);
+    EXPECT_EQ(sent_after(echoes), start);
+    on_echo(echoes, 0);
+    EXPECT_EQ(sent_after(echoes), start);
     on_echo(echoes, 1);
-    EXPECT_GE(path_delay(echoes, start + 3s), 1s);
-    EXPECT_LE(path_delay(echoes, start + 3s), 2s);
+    EXPECT_EQ(sent_after(echoes), start + 1s);
     on_echo(echoes, 2);
-    EXPECT_EQ(path_delay(echoes, start + 9s), 0ms);
+    EXPECT_EQ(sent_after(echoes), start + 2s);
+    on_echo(echoes, 1);
+    EXPECT_EQ(sent_after(echoes), start + 2s) << "an older update that arrives later";
+}
+
+// Guards against a hub that repeats numbers that were never sent, or none.
+TEST(report_echoes, a_hub_that_repeats_no_report_gets_no_later_time)
+{
+    report_echoes echoes{.echoed_sent_at = start};
+    for (int i = 1; i <= 1000; ++i)
+    {
+        on_report_sent(echoes, start + i * 400ms);
+    }
+    on_echo(echoes, 5000);
+    EXPECT_EQ(sent_after(echoes), start);
+    EXPECT_LE(echoes.unanswered.size(), 64U);
 }
 
 } // namespace
--- a/test/correctness/net/hub_links_test.cpp
+++ b/test/correctness/net/hub_links_test.cpp
@@ -10,6 +10,8 @@
 #include <boost/endian/conversion.hpp>
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace zinniaferry::net
 {
 namespace
@@ -307,5 +309,35 @@
     EXPECT_LT(replica.current_as_of, core::boot_clock_now() - 1s);
 }
 
+// Guards against an update that is encoded for each subscriber, because they subscribed at
+// different revisions, although all lack the same change.
+TEST_F(hub_links_test, subscribers_that_joined_at_different_revisions_share_later_updates)
+{
+    serve("small");
+    std::vector<std::unique_ptr<subscriber>> joined;
+    for (std::uint64_t revision = 0; revision < 4; ++revision)
+    {
+        joined.push_back(std::make_unique<subscriber>(io, acceptor.local_endpoint(), revision));
+    }
+    ASSERT_TRUE(test::run_until(io,
+                                [&]
+                                {
+                                    return std::all_of(joined.begin(), joined.end(),
+                                                       [](const auto& entry)
+                                                       { return entry->heartbeats >= 1; });
+                                }));
+    const std::uint64_t before = links->counters().updates_encoded;
+    fleet::apply_changes(replica, {{"config", large_value(50), 6}}, 6);
+    links->notify_subscribers();
+    ASSERT_TRUE(test::run_until(io,
+                                [&]
+                                {
+                                    return std::all_of(joined.begin(), joined.end(),
+                                                       [](const auto& entry)
+                                                       { return entry->replica.revision == 6; });
+                                }));
+    EXPECT_EQ(links->counters().updates_encoded, before + 1);
+}
+
 } // namespace
 } // namespace zinniaferry::net
