Stand-in servers say that they leave, ask for pauses and end lifetimes

Backend servers say of themselves that they leave (X-Zinnia-Leaving) and that they want a pause (503 with Retry-After). The stand-in could say neither, so no test of real processes could show whether a daemon keeps to it.

- Command leave: all answers of the lifetime say so, also those of requests in progress, rejections and health checks.
- Command pause: requests are rejected as not run with the given Retry-After, for a time or until another command; for a server or the whole service.
- Command restart ends a lifetime and starts the next one, also under another id at the same address.
Executions are logged under the id at their start.
- An exchange log has a line for each received request, health checks told apart, with the lifetime and what the answer said.
It is a log of its own, because readers of the execution log count its lines as executions, and optional, because load probes outnumber requests.

Ruled out: the peer address as the sign of the daemon, which is the same for all daemons on loopback and changes with each connection.

--- a/apps/backend_stub.cpp
+++ b/apps/backend_stub.cpp
@@ -49,8 +49,9 @@
 core::result<int> run(const cxxopts::ParseResult& options)
 {
     BOOST_LEAF_AUTO(backend_settings, read_options(options));
-    BOOST_LEAF_AUTO(
-        group, stand_in::make_backend_group(backend_settings, options["log"].as<std::string>()));
+    BOOST_LEAF_AUTO(group,
+                    stand_in::make_backend_group(backend_settings, options["log"].as<std::string>(),
+                                                 options["exchange-log"].as<std::string>()));
     BOOST_LEAF_AUTO(first_endpoint, stand_in::parse_endpoint(options["listen"].as<std::string>()));
     BOOST_LEAF_AUTO(control_endpoint,
                     stand_in::parse_endpoint(options["control"].as<std::string>()));
@@ -123,6 +124,8 @@
         ("body-bytes", "Bytes of content in a response",
             cxxopts::value<std::size_t>()->default_value("256"))
         ("log", "File to append the execution log to; none if empty", text(""))
+        ("exchange-log", "File to append a line to for each received request; none if empty",
+            text(""))
         ("seed", "Seed of the service times", cxxopts::value<std::uint64_t>()->default_value("1"));
     // clang-format on
     return stand_in::run_program(options, argc, argv, run);
--- a/src/core/time.hpp
+++ b/src/core/time.hpp
@@ -58,4 +58,12 @@
     return time_point(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
 }
 
+/// Returns the wall-clock time since the Unix epoch, only for timestamps that other processes
+/// compare with their own. Thread safe.
+inline std::chrono::microseconds unix_time_now()
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+}
+
 } // namespace zinniaferry::core
--- a/src/stand_in/backend.cpp
+++ b/src/stand_in/backend.cpp
@@ -2,6 +2,7 @@
 
 #include "net/await_error.hpp"
 #include "stand_in/answer.hpp"
+#include "stand_in/exchange_log.hpp"
 #include "stand_in/execution_log.hpp"
 
 #include <boost/asio/this_coro.hpp>
@@ -25,11 +26,18 @@
 
 using net::tuple_awaitable;
 
+constexpr const char* leaving_header = "X-Zinnia-Leaving";
+
 bool is_cold(const backend& server)
 {
     return backend_clock::now() < server.cold_until;
 }
 
+bool is_pausing(const backend& server)
+{
+    return server.mode == backend_mode::pausing && backend_clock::now() < server.pausing_until;
+}
+
 double service_time_factor(const backend& server)
 {
     const double cold_service_factor = is_cold(server) ? server.group->options.cold_factor : 1.0;
@@ -259,41 +267,56 @@
     co_return co_await execute_request(server, request, times);
 }
 
-asio::awaitable<http_response> handle_request(backend& server, http_request request)
+asio::awaitable<http_response> respond(backend& server, const http_request& request,
+                                       exchange& entry)
 {
     backend_counters& counters = server.counters;
-    http_response response;
-    const net::http_profile& profile = server.group->options.profile;
-    counters.key_headers += request.headers.contains(to_lower(profile.key_header)) ? 1 : 0;
-    const std::string expected_server = find_header(request, profile.expected_server_header);
+    const std::string expected_server =
+        find_header(request, server.group->options.profile.expected_server_header);
     if (!expected_server.empty() && expected_server != server.name)
     {
         ++counters.misdirected;
-        response = not_run_response(server, "wrong_server");
+        http_response response = not_run_response(server, "wrong_server");
         response.status = 421;
+        co_return response;
     }
-    else if (request.path == "/health")
+    if (entry.kind == request_kind::health_check)
     {
         ++counters.probes;
-        response = json_response(server.mode == backend_mode::fail_fast ? 500 : 200,
-                                 R"({"status": "up"})");
+        co_return json_response(server.mode == backend_mode::fail_fast ? 500 : 200,
+                                R"({"status": "up"})");
     }
-    else if (server.mode == backend_mode::fail_fast)
+    if (server.mode == backend_mode::fail_fast)
     {
         ++counters.failed_fast;
-        response = failure_response(500, "fail_fast");
+        co_return failure_response(500, "fail_fast");
     }
-    else if (server.mode == backend_mode::draining)
+    if (server.mode == backend_mode::draining)
     {
         ++counters.while_draining;
-        response = not_run_response(server, "draining");
+        co_return not_run_response(server, "draining");
     }
-    else
+    if (is_pausing(server))
     {
-        // A cancelled request must still release its slot and write its log entry.
-        co_await asio::this_coro::throw_if_cancelled(false);
-        response = co_await admit_and_execute(server, request);
+        ++counters.while_pausing;
+        entry.retry_after = server.retry_after;
+        http_response response = not_run_response(server, "pausing");
+        response.headers.emplace_back("Retry-After",
+                                      fmt::format("{}", core::to_seconds(server.retry_after)));
+        co_return response;
     }
+    // A cancelled request must still release its slot and write its log entries.
+    co_await asio::this_coro::throw_if_cancelled(false);
+    co_return co_await admit_and_execute(server, request);
+}
+
+asio::awaitable<http_response> handle_request(backend& server, http_request request)
+{
+    const net::http_profile& profile = server.group->options.profile;
+    exchange entry(server, request,
+                   request.path == "/health" ? request_kind::health_check : request_kind::work);
+    server.counters.key_headers += request.headers.contains(to_lower(profile.key_header)) ? 1 : 0;
+    http_response response = co_await respond(server, request, entry);
     const std::string request_id = find_header(request, profile.request_id_header);
     if (!request_id.empty())
     {
@@ -307,26 +330,47 @@
         response.headers.emplace_back(profile.warmup_left_header,
                                       fmt::format("{:.0f}", warmup_left.count()));
     }
+    if (server.leaving)
+    {
+        response.headers.emplace_back(leaving_header, "1");
+    }
+    const auto cancellation = co_await asio::this_coro::cancellation_state;
+    // The response of a cancelled request is not sent.
+    if (cancellation.cancelled() == asio::cancellation_type::none)
+    {
+        entry.status = response.status;
+        entry.leaving = server.leaving;
+    }
     co_return response;
 }
 
+// Opens a log for appending, unless its name is empty.
+core::result<void> open_log(std::ofstream& log, const std::string& file)
+{
+    if (file.empty())
+    {
+        return {};
+    }
+    log.open(file, std::ios::app);
+    if (!log)
+    {
+        return boost::leaf::new_error(
+            core::file_error{.file = file, .error_number = errno != 0 ? errno : EIO});
+    }
+    return {};
+}
+
 } // namespace
 
-core::result<std::unique_ptr<backend_group>> make_backend_group(const backend_options& options,
-                                                                const std::string& log_file)
+core::result<std::unique_ptr<backend_group>>
+make_backend_group(const backend_options& options, const std::string& execution_log_file,
+                   const std::string& exchange_log_file)
 {
     auto group = std::make_unique<backend_group>();
     group->options = options;
     group->random.seed(options.seed);
-    if (!log_file.empty())
-    {
-        group->execution_log.open(log_file, std::ios::app);
-        if (!group->execution_log)
-        {
-            return boost::leaf::new_error(
-                core::file_error{.file = log_file, .error_number = errno != 0 ? errno : EIO});
-        }
-    }
+    BOOST_LEAF_CHECK(open_log(group->execution_log, execution_log_file));
+    BOOST_LEAF_CHECK(open_log(group->exchange_log, exchange_log_file));
     for (unsigned i = 1; i <= options.count; ++i)
     {
         auto server = std::make_unique<backend>();
--- a/src/stand_in/backend.hpp
+++ b/src/stand_in/backend.hpp
@@ -1,9 +1,10 @@
 /// Stand-in for the backend servers of one service. It simulates slots, a bounded queue, cold
-/// starts, draining, load shedding, deadlines, cancellation, and a load report that may be late or
-/// biased.
+/// starts, draining, load shedding, deadlines, cancellation, answers that say that the server
+/// leaves or wants a pause, lifetimes, and a load report that may be late or biased.
 #pragma once
 
 #include "core/random.hpp"
+#include "core/time.hpp"
 #include "net/http_profile.hpp"
 #include "stand_in/http_server.hpp"
 
@@ -50,6 +51,7 @@
     slow,      ///< Service times are multiplied by the server's `slow_factor`.
     fail_fast, ///< Responds 500 at once without executing the request; health checks fail too.
     draining,  ///< Rejects new requests as not executed.
+    pausing,   ///< Rejects new requests as not executed and states `retry_after`.
     late       ///< Executes past the deadline and responds after it.
 };
 
@@ -63,6 +65,7 @@
     std::uint64_t shed = 0;           ///< Rejected: queue full, or no slot before the deadline.
     std::uint64_t failed_fast = 0;    ///< Requests failed in the mode `fail_fast`.
     std::uint64_t while_draining = 0; ///< Requests rejected in the mode `draining`.
+    std::uint64_t while_pausing = 0;  ///< Requests rejected in the mode `pausing`.
     std::uint64_t cold_overruns = 0;  ///< Requests admitted beyond a cold server's allowance.
     std::uint64_t key_headers = 0;    ///< Requests that carried an account key; must stay 0.
     std::uint64_t probes = 0;         ///< Health checks.
@@ -91,7 +94,11 @@
     backend_group* group = nullptr;
     std::string name;
     backend_mode mode = backend_mode::normal;
-    double slow_factor = 1.0; ///< Factor on the service time in the mode `slow`.
+    double slow_factor = 1.0;                ///< Factor on the service time in the mode `slow`.
+    core::duration retry_after{};            ///< `Retry-After` of rejections in the mode `pausing`.
+    backend_clock::time_point pausing_until; ///< End of the mode `pausing`.
+    bool leaving = false;                    ///< All answers of this lifetime say so.
+    unsigned lifetime = 1;                   ///< Counts the starts, the first included.
     backend_clock::time_point cold_until;
     unsigned running = 0;                 ///< Slots in use.
     std::deque<slot_waiter*> waiting;     ///< Queued requests, oldest first.
@@ -100,19 +107,22 @@
     connection_set connections; ///< Reset by the command `restart`.
 };
 
-/// The servers of one service with their execution log.
+/// The servers of one service with their logs.
 struct backend_group
 {
     backend_options options;
     core::random_generator random; ///< Draws the service times.
     std::ofstream execution_log;   ///< Not open if executions are not logged.
+    std::ofstream exchange_log;    ///< Not open if received requests are not logged.
     std::vector<std::unique_ptr<backend>> servers;
 };
 
 /// Returns a group of servers named SERVICE-1, SERVICE-2, ... Executions are appended to
-/// `log_file`, or not logged if it is empty. Error: file_error.
-core::result<std::unique_ptr<backend_group>> make_backend_group(const backend_options& options,
-                                                                const std::string& log_file);
+/// `execution_log_file`, received requests to `exchange_log_file`; an empty name logs nothing.
+/// Error: file_error.
+core::result<std::unique_ptr<backend_group>>
+make_backend_group(const backend_options& options, const std::string& execution_log_file,
+                   const std::string& exchange_log_file = "");
 
 /// Returns the request handler of one server. Precondition: `server` outlives it.
 http_handler make_backend_handler(backend& server);
--- a/src/stand_in/backend_control.cpp
+++ b/src/stand_in/backend_control.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string_view>
@@ -32,6 +33,7 @@
             {"shed", counters.shed},
             {"failed_fast", counters.failed_fast},
             {"while_draining", counters.while_draining},
+            {"while_pausing", counters.while_pausing},
             {"cold_overruns", counters.cold_overruns},
             {"key_headers", counters.key_headers},
             {"probes", counters.probes}};
@@ -46,6 +48,7 @@
     sum.shed += counters.shed;
     sum.failed_fast += counters.failed_fast;
     sum.while_draining += counters.while_draining;
+    sum.while_pausing += counters.while_pausing;
     sum.cold_overruns += counters.cold_overruns;
     sum.key_headers += counters.key_headers;
     sum.probes += counters.probes;
@@ -69,8 +72,48 @@
     return json_response(200, json::serialize(body));
 }
 
-// Applies a control command to one server. Returns false if the command is unknown.
-bool apply_command(backend& server, std::string_view command, const http_request& request)
+http_response control_error(unsigned status, const char* detail)
+{
+    const json::object body{{"error", "bad_request"}, {"detail", detail}};
+    return json_response(status, json::serialize(body));
+}
+
+// Ends the server's lifetime and starts the next one, under a new id if one is given.
+void restart(backend& server, const http_request& request)
+{
+    server.mode = backend_mode::normal;
+    server.leaving = false;
+    ++server.lifetime;
+    if (const std::string id = find_value(request.query, "id"); !id.empty())
+    {
+        server.name = id;
+    }
+    start_cold_period(server, find_number(request.query, "ms"));
+    reset_connections(server.connections);
+}
+
+// Makes the server reject requests for the time `ms`, or until another command changes its mode.
+http_response pause(backend& server, const http_request& request)
+{
+    const auto retry_after_s = find_number(request.query, "retry_after");
+    if (!retry_after_s)
+    {
+        return control_error(400, "pause expects retry_after=SECONDS");
+    }
+    const auto duration_ms = find_number(request.query, "ms");
+    server.mode = backend_mode::pausing;
+    server.retry_after = core::from_seconds(*retry_after_s);
+    server.pausing_until =
+        duration_ms
+            ? backend_clock::now() +
+                  std::chrono::duration_cast<backend_clock::duration>(milliseconds(*duration_ms))
+            : backend_clock::time_point::max();
+    return json_response(200, "{}");
+}
+
+// Applies a control command to one server. Returns the response, an error if the command is not
+// valid.
+http_response apply_command(backend& server, std::string_view command, const http_request& request)
 {
     static const std::map<std::string_view, backend_mode> mode_commands{
         {"normal", backend_mode::normal},
@@ -82,27 +125,35 @@
     {
         server.mode = mode->second;
         server.slow_factor = find_number(request.query, "factor").value_or(10.0);
-        return true;
     }
-    if (command == "restart")
+    else if (command == "pause")
     {
-        server.mode = backend_mode::normal;
-        start_cold_period(server, find_number(request.query, "ms"));
-        reset_connections(server.connections);
-        return true;
+        return pause(server, request);
+    }
+    else if (command == "leave")
+    {
+        server.leaving = true;
+    }
+    else if (command == "restart")
+    {
+        restart(server, request);
     }
-    if (command == "cold")
+    else if (command == "cold")
     {
         start_cold_period(server, find_number(request.query, "ms"));
-        return true;
     }
-    return false;
+    else
+    {
+        return control_error(404, "unknown command; expected cold, slow, fail_fast, drain, leave, "
+                                  "pause, restart, late or normal");
+    }
+    return json_response(200, "{}");
 }
 
-http_response control_error(unsigned status, const char* detail)
+bool has_server(const backend_group& group, std::string_view id)
 {
-    const json::object body{{"error", "bad_request"}, {"detail", detail}};
-    return json_response(status, json::serialize(body));
+    return std::any_of(group.servers.begin(), group.servers.end(),
+                       [&](const auto& server) { return server->name == id; });
 }
 
 http_response handle_control(backend_group& group, const http_request& request)
@@ -118,21 +169,22 @@
                              "not found; expected POST /control/COMMAND or GET /control/counters");
     }
     const std::string command = request.path.substr(command_prefix.size());
-    const std::string server_name = find_value(request.query, "server");
-    bool found = false;
+    const std::string server_id = find_value(request.query, "server");
+    const std::string new_id = find_value(request.query, "id");
+    if (!new_id.empty() &&
+        (server_id.empty() || (new_id != server_id && has_server(group, new_id))))
+    {
+        return control_error(400, "id must be new and is for one server");
+    }
+    http_response response = control_error(404, "unknown server name");
     for (const auto& server : group.servers)
     {
-        if (server_name.empty() || server_name == server->name)
+        if (server_id.empty() || server_id == server->name)
         {
-            found = true;
-            if (!apply_command(*server, command, request))
-            {
-                return control_error(404, "unknown command; expected cold, slow, fail_fast, drain, "
-                                          "restart, late or normal");
-            }
+            response = apply_command(*server, command, request);
         }
     }
-    return found ? json_response(200, "{}") : control_error(404, "unknown server name");
+    return response;
 }
 
 } // namespace
--- a/src/stand_in/execution_log.cpp
+++ b/src/stand_in/execution_log.cpp
@@ -10,13 +10,6 @@
 
 namespace json = boost::json;
 
-std::int64_t unix_microseconds()
-{
-    return std::chrono::duration_cast<std::chrono::microseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 const char* to_string(execution_end end)
 {
     switch (end)
@@ -34,7 +27,7 @@
 } // namespace
 
 execution::execution(backend& server, const http_request& request)
-    : server(server), request(request), start_us(unix_microseconds())
+    : server(server), request(request), server_id(server.name), start(core::unix_time_now())
 {
     ++server.counters.executions;
 }
@@ -57,9 +50,9 @@
         // without relying on the request ids that a daemon assigns.
         {"caller_id", find_value(request.query, "id")},
         {"method", request.method},
-        {"server", server.name},
-        {"start_us", start_us},
-        {"end_us", unix_microseconds()},
+        {"server", server_id},
+        {"start_us", start.count()},
+        {"end_us", core::unix_time_now().count()},
         {"end", to_string(end)},
         {"key_header", request.headers.contains("x-zinnia-key")}};
     // Flushed after each line, so that the log of a killed process is complete up to that moment.
--- a/src/stand_in/execution_log.hpp
+++ b/src/stand_in/execution_log.hpp
@@ -26,7 +26,8 @@
 
     backend& server;
     const http_request& request;
-    std::int64_t start_us = 0; ///< Start, in microseconds since the Unix epoch.
+    std::string server_id;           ///< At the start; a restart may change it.
+    std::chrono::microseconds start; ///< Since the Unix epoch.
     execution_end end = execution_end::cancelled;
 };
 
--- a/test/correctness/stand_in/backend_test.cpp
+++ b/test/correctness/stand_in/backend_test.cpp
@@ -23,9 +23,10 @@
 
 struct backend_test : testing::Test
 {
-    void make_group(const backend_options& options, const std::string& log = "")
+    void make_group(const backend_options& options, const std::string& log = "",
+                    const std::string& exchange_log = "")
     {
-        auto made = make_backend_group(options, log);
+        auto made = make_backend_group(options, log, exchange_log);
         ASSERT_TRUE(made);
         group = std::move(*made);
         handler = make_backend_handler(first());
@@ -181,6 +182,66 @@
     EXPECT_EQ(first().counters.executions, 3U);
 }
 
+// Guards against answers that omit that the server leaves: health checks, rejections, and requests
+// that were in progress when it began to leave; and against a later lifetime that still says so.
+TEST_F(backend_test, says_in_every_answer_that_it_leaves_until_its_lifetime_ends)
+{
+    const auto leaving = [](const http_response& response)
+    {
+        return test::header(response, "X-Zinnia-Leaving");
+    };
+    make_group({.service_time = milliseconds(1.0), .fixed_service_time = true});
+    const auto in_progress = test::start(context, handler, make_work_request());
+    ASSERT_TRUE(run_until(context, [&] { return first().running == 1; }));
+    first().leaving = true;
+    ASSERT_TRUE(run_until(context, [&] { return in_progress->has_value(); }));
+    EXPECT_EQ((*in_progress)->status, 200U);
+    EXPECT_EQ(leaving(**in_progress), "1");
+    ASSERT_EQ(control("restart"), 200U);
+    EXPECT_EQ(leaving(get_response(context, handler, make_work_request())), "");
+    ASSERT_EQ(control("leave"), 200U);
+    EXPECT_EQ(leaving(get_response(context, handler, make_request("GET", "/health"))), "1");
+    ASSERT_EQ(control("drain"), 200U);
+    EXPECT_EQ(leaving(get_response(context, handler, make_work_request())), "1");
+}
+
+// Guards against a pause that has no Retry-After, runs requests, affects health checks or does not
+// end by its time or by a command.
+TEST_F(backend_test, rejects_requests_with_retry_after_while_pausing)
+{
+    make_group({.service_time = milliseconds(0.0)});
+    ASSERT_EQ(control("pause", {{"retry_after", "1.5"}}), 200U);
+    const http_response rejected = get_response(context, handler, make_work_request());
+    EXPECT_EQ(rejected.status, 503U);
+    EXPECT_EQ(test::header(rejected, "Retry-After"), "1.5");
+    EXPECT_EQ(test::header(rejected, "X-Zinnia-Outcome"), "not-run");
+    EXPECT_EQ(get_response(context, handler, make_request("GET", "/health")).status, 200U);
+    EXPECT_EQ(first().counters.executions, 0U);
+    EXPECT_EQ(first().counters.while_pausing, 1U);
+    ASSERT_EQ(control("normal"), 200U);
+    EXPECT_EQ(get_response(context, handler, make_work_request()).status, 200U);
+    ASSERT_EQ(control("pause", {{"retry_after", "2"}, {"ms", "0"}}), 200U);
+    EXPECT_EQ(get_response(context, handler, make_work_request()).status, 200U);
+}
+
+// Guards against a new lifetime under another id that accepts requests for the old id.
+TEST_F(backend_test, restarts_under_another_id)
+{
+    make_group({.count = 2, .service_time = milliseconds(0.0)});
+    EXPECT_EQ(control("restart", {{"id", "other"}}), 400U);
+    EXPECT_EQ(control("restart", {{"server", "service-1"}, {"id", "service-2"}}), 400U);
+    EXPECT_EQ(first().lifetime, 1U);
+    ASSERT_EQ(control("restart", {{"server", "service-1"}, {"id", "other"}}), 200U);
+    EXPECT_EQ(first().lifetime, 2U);
+    const auto status = [&](const char* id)
+    {
+        return get_response(context, handler, make_work_request({{"x-zinnia-expected-server", id}}))
+            .status;
+    };
+    EXPECT_EQ(status("service-1"), 421U);
+    EXPECT_EQ(status("other"), 200U);
+}
+
 // Guards against a load report that ignores the configured lag or bias.
 TEST_F(backend_test, the_reported_load_can_lag_and_be_biased)
 {
@@ -223,6 +284,46 @@
     std::remove(file.c_str());
 }
 
+// Guards against an exchange log without the fields that check_records reads, or without a request
+// whose connection closed before the answer.
+TEST_F(backend_test, logs_each_received_request_with_what_its_answer_said)
+{
+    const std::string file = testing::TempDir() + "backend_test_exchanges";
+    std::remove(file.c_str());
+    make_group({.service_time = unbounded_time, .fixed_service_time = true}, "", file);
+    ASSERT_EQ(control("leave"), 200U);
+    test::loopback_server server(context, handler, first().connections);
+    test::tcp::socket caller(context);
+    test::send_text(caller, server.acceptor.local_endpoint(),
+                    "GET /orders?id=c1 HTTP/1.1\r\nHost: x\r\n\r\n");
+    ASSERT_TRUE(run_until(context, [&] { return first().running == 1; }));
+    ASSERT_EQ(control("restart", {{"server", "service-1"}, {"id", "other"}}), 200U);
+    ASSERT_TRUE(run_until(context, [&] { return first().running == 0; }));
+    ASSERT_EQ(control("pause", {{"retry_after", "0.5"}}), 200U);
+    get_response(context, handler, make_work_request());
+    get_response(context, handler, make_request("GET", "/health"));
+    std::vector<boost::json::value> lines;
+    std::string line;
+    for (std::ifstream log(file); std::getline(log, line);)
+    {
+        lines.push_back(boost::json::parse(line));
+    }
+    std::remove(file.c_str());
+    ASSERT_EQ(lines.size(), 3U);
+    EXPECT_EQ(lines[0].at("caller_id"), "c1");
+    EXPECT_EQ(lines[0].at("server"), "service-1");
+    EXPECT_EQ(lines[0].at("lifetime"), 1);
+    EXPECT_EQ(lines[0].at("status"), 0);
+    EXPECT_EQ(lines[1].at("kind"), "work");
+    EXPECT_EQ(lines[1].at("server"), "other");
+    EXPECT_EQ(lines[1].at("lifetime"), 2);
+    EXPECT_EQ(lines[1].at("status"), 503);
+    EXPECT_EQ(lines[1].at("leaving"), false);
+    EXPECT_EQ(lines[1].at("retry_after_s"), 0.5);
+    EXPECT_LE(lines[1].at("received_us").as_int64(), lines[1].at("ended_us").as_int64());
+    EXPECT_EQ(lines[2].at("kind"), "health_check");
+}
+
 // Guards against accepting the response to another request, or a truncated one, as the right one.
 TEST(answer_test, detects_crossed_and_truncated_responses)
 {
--- a/test/error/stand_in/stand_in_error_test.cpp
+++ b/test/error/stand_in/stand_in_error_test.cpp
@@ -66,6 +66,8 @@
     EXPECT_EQ(error_of([] { return read_file("/nonexistent/file"); }), "/nonexistent/file");
     EXPECT_EQ(error_of([] { return make_backend_group({}, "/nonexistent/log"); }),
               "/nonexistent/log");
+    EXPECT_EQ(error_of([] { return make_backend_group({}, "", "/nonexistent/exchanges"); }),
+              "/nonexistent/exchanges");
 }
 
 // Guards against accepting a misspelt command, which a test would take as applied.
@@ -82,6 +84,8 @@
     };
     EXPECT_EQ(status(control, "/control/slwo", {}), 404U);
     EXPECT_EQ(status(control, "/control/slow", {{"server", "service-9"}}), 404U);
+    EXPECT_EQ(status(control, "/control/pause", {}), 400U);
+    EXPECT_EQ(status(control, "/control/pause", {{"retry_after", "soon"}}), 400U);
     platform_state state;
     const http_handler handler = make_platform_handler(state);
     EXPECT_EQ(status(handler, "/control/mode", {{"mode", "off"}}), 400U);
