Check that daemons keep to what servers say of themselves

Requirements: a request that a caller sent more than 2 s after a daemon had passed on an answer with leaving must not reach that server through that daemon; from 0.5 s after an answer with Retry-After to the end of that time at most two requests may. Nothing counted such requests.

The daemon of each request, the send time and the time at which the answer was passed on come from the records of zinnia_load, which have the address of the daemon, the answering server and wall-clock times for this. Both sides run on one machine and use its clock.

The index of the target in the records does not identify a daemon, because runs with fewer targets number them otherwise. The readers of single lines are shared with record_check in record_line.

--- a/src/load/client.cpp
+++ b/src/load/client.cpp
@@ -97,6 +97,12 @@
     return pool;
 }
 
+std::string target_address(const connection_pool& pool, std::size_t target)
+{
+    const tcp::endpoint& endpoint = pool.targets[target];
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
 asio::awaitable<request_result> send_once(std::shared_ptr<connection_pool> pool,
                                           client_request request)
 {
@@ -156,6 +162,7 @@
     case body_check::whole:
         result.outcome = outcome::answered;
         result.verdict = verdict::whole;
+        result.server = stand_in::find_answering_server(body);
         return result;
     case body_check::crossed:
         result.verdict = verdict::crossed;
--- a/src/load/client.hpp
+++ b/src/load/client.hpp
@@ -32,6 +32,7 @@
     load::outcome outcome = outcome::unknown;
     load::verdict verdict = verdict::cut;
     unsigned status = 0; ///< HTTP status; 0 if no response was received.
+    std::string server;  ///< Named by the response if the outcome is answered.
 };
 
 /// Idle keep-alive connections of each target.
@@ -41,6 +42,9 @@
 std::shared_ptr<connection_pool>
 make_connection_pool(std::vector<boost::asio::ip::tcp::endpoint> targets);
 
+/// Returns IP:PORT of a target. Precondition: the target exists.
+std::string target_address(const connection_pool& pool, std::size_t target);
+
 /// Sends a request and checks that the response is complete and belongs to it. Never resends after
 /// a failure, because a client cannot know whether the request was executed.
 /// Precondition: the target exists.
--- a/src/load/load_run.cpp
+++ b/src/load/load_run.cpp
@@ -1,5 +1,6 @@
 #include "load/load_run.hpp"
 
+#include "core/time.hpp"
 #include "net/await_error.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -84,6 +85,7 @@
                          .route = planned.route->name,
                          .account = planned.account->name,
                          .target = std::to_string(planned.target),
+                         .daemon = target_address(*state.pool, planned.target),
                          .idempotent = planned.route->idempotent,
                          .repeat = planned.repeat,
                          .send_offset = planned.send_offset};
@@ -96,8 +98,11 @@
     }
     ++state.in_flight;
     client_request request = make_client_request(planned, entry.id);
+    entry.sent = core::unix_time_now();
     const request_result result = co_await send_once(state.pool, std::move(request));
+    entry.ended = core::unix_time_now();
     --state.in_flight;
+    entry.server = result.server;
     entry.status = result.status;
     entry.outcome = result.outcome;
     entry.verdict = result.verdict;
@@ -165,9 +170,8 @@
     {
         planned.idempotency_key =
             fmt::format("key-{}-{}", state.options.id_prefix, state.next_id++);
-        planned.first_sent_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
-                                    std::chrono::system_clock::now().time_since_epoch())
-                                    .count();
+        planned.first_sent_ms =
+            std::chrono::floor<std::chrono::milliseconds>(core::unix_time_now()).count();
     }
     return planned;
 }
--- a/src/load/record_check.cpp
+++ b/src/load/record_check.cpp
@@ -1,5 +1,7 @@
 #include "load/record_check.hpp"
 
+#include "load/record_line.hpp"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -12,66 +14,12 @@
 
 namespace json = boost::json;
 
-constexpr std::size_t max_examples = 10;
-
-core::result<json::object> parse_line(std::string_view line, const std::string& file)
-{
-    json::error_code error;
-    json::value value = json::parse(json::string_view(line.data(), line.size()), error);
-    if (error || !value.is_object())
-    {
-        return boost::leaf::new_error(core::document_error{.file = file,
-                                                           .path = "$",
-                                                           .value = std::string(line.substr(0, 80)),
-                                                           .expected = "a JSON object per line"});
-    }
-    return std::move(value.get_object());
-}
-
-boost::leaf::error_id invalid_field_error(const std::string& file, const char* key,
-                                          const char* expected, const json::object& line)
-{
-    return boost::leaf::new_error(core::document_error{.file = file,
-                                                       .path = std::string("$.") + key,
-                                                       .value = json::serialize(line),
-                                                       .expected = expected});
-}
-
-core::result<std::string> read_string(const json::object& line, const char* key,
-                                      const std::string& file)
-{
-    const json::value* value = line.if_contains(key);
-    if (value == nullptr || !value->is_string())
-    {
-        return invalid_field_error(file, key, "a string", line);
-    }
-    return std::string(value->get_string());
-}
-
-core::result<bool> read_bool(const json::object& line, const char* key, const std::string& file)
-{
-    const json::value* value = line.if_contains(key);
-    if (value == nullptr || !value->is_bool())
-    {
-        return invalid_field_error(file, key, "true or false", line);
-    }
-    return value->get_bool();
-}
-
-void add_violation(check_result& result, std::uint64_t& count, const std::string& description)
-{
-    ++count;
-    if (result.examples.size() < max_examples)
-    {
-        result.examples.push_back(description);
-    }
-}
-
 void check_request(check_result& result, const std::string& id, const request_observation& request)
 {
     if (!request.recorded)
     {
-        add_violation(result, result.unrecorded, "request executed but not recorded: " + id);
+        add_violation(result.examples, result.unrecorded,
+                      "request executed but not recorded: " + id);
     }
     if (request.executions > 1 && request.idempotent)
     {
@@ -79,16 +27,17 @@
     }
     else if (request.executions > 1)
     {
-        add_violation(result, result.repeated_requests, "request executed more than once: " + id);
+        add_violation(result.examples, result.repeated_requests,
+                      "request executed more than once: " + id);
     }
     if (request.not_run && request.executions > 0)
     {
-        add_violation(result, result.executed_not_run,
+        add_violation(result.examples, result.executed_not_run,
                       "request recorded as not_run but executed: " + id);
     }
     if (request.answered && request.executions == 0)
     {
-        add_violation(result, result.answered_unexecuted,
+        add_violation(result.examples, result.answered_unexecuted,
                       "request answered but not executed: " + id);
     }
 }
@@ -154,7 +103,7 @@
     {
         if (executions > 1)
         {
-            add_violation(result, result.repeated_keys,
+            add_violation(result.examples, result.repeated_keys,
                           "idempotency key executed more than once: " + key.second);
         }
     }
@@ -162,7 +111,7 @@
     {
         if (caller_ids.size() > 1)
         {
-            add_violation(result, result.shared_request_ids,
+            add_violation(result.examples, result.shared_request_ids,
                           "daemon request id assigned to more than one request: " + request_id);
         }
     }
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -127,13 +127,17 @@
                             {"route", entry.route},
                             {"account", entry.account},
                             {"target", entry.target},
+                            {"daemon", entry.daemon},
+                            {"server", entry.server},
                             {"idempotent", entry.idempotent},
                             {"repeat", entry.repeat},
                             {"status", entry.status},
                             {"outcome", to_string(entry.outcome)},
                             {"verdict", to_string(entry.verdict)},
                             {"at_ms", round_to_microseconds(entry.send_offset)},
-                            {"latency_ms", round_to_microseconds(entry.latency)}};
+                            {"latency_ms", round_to_microseconds(entry.latency)},
+                            {"sent_us", entry.sent.count()},
+                            {"ended_us", entry.ended.count()}};
     return json::serialize(line);
 }
 
--- a/src/load/report.hpp
+++ b/src/load/report.hpp
@@ -40,6 +40,8 @@
     std::string route;
     std::string account;
     std::string target; ///< Index of the target.
+    std::string daemon; ///< IP:PORT of the target.
+    std::string server; ///< Backend server that answered; empty if the outcome is not answered.
     bool idempotent = true;
     bool repeat = false; ///< A second request with the same idempotency key.
     unsigned status = 0; ///< HTTP status; 0 without a response.
@@ -49,6 +51,8 @@
     seconds send_offset{0.0};
     /// From the intended send time, so that delays in the load generator count too; 0 if `limited`.
     milliseconds latency{0.0};
+    std::chrono::microseconds sent{0};  ///< Actual send time since the Unix epoch; 0 if `limited`.
+    std::chrono::microseconds ended{0}; ///< When the result was known; 0 if `limited`.
 };
 
 const char* to_string(outcome value);
--- a/src/stand_in/answer.cpp
+++ b/src/stand_in/answer.cpp
@@ -77,4 +77,13 @@
     return *stated_path == path ? body_check::whole : body_check::crossed;
 }
 
+std::string find_answering_server(std::string_view body)
+{
+    json::error_code error;
+    const json::value document = json::parse(json::string_view(body.data(), body.size()), error);
+    const json::object* object = error ? nullptr : document.if_object();
+    const json::string* server = object == nullptr ? nullptr : find_string(*object, "server");
+    return server == nullptr ? std::string() : std::string(*server);
+}
+
 } // namespace zinniaferry::stand_in
--- a/src/stand_in/answer.hpp
+++ b/src/stand_in/answer.hpp
@@ -26,4 +26,7 @@
 /// Checks a response body against the requested path, query included. Thread safe.
 body_check check_response_body(std::string_view body, std::string_view path);
 
+/// Returns the server that a whole response body names, or an empty string. Thread safe.
+std::string find_answering_server(std::string_view body);
+
 } // namespace zinniaferry::stand_in
--- a/test/correctness/load/load_run_test.cpp
+++ b/test/correctness/load/load_run_test.cpp
@@ -1,6 +1,7 @@
 #include "load/load_run.hpp"
 
 #include "load/record_check.hpp"
+#include "load/statement_check.hpp"
 #include "stand_in/answer.hpp"
 #include "stand_in/backend.hpp"
 #include "support/loopback.hpp"
@@ -79,17 +80,26 @@
     EXPECT_EQ(late.outcome, outcome::unknown);
 }
 
+struct checked_run
+{
+    check_result executions;
+    statement_result statements;
+};
+
 // Sends ten requests with idempotency keys to two listeners of one stand-in server, which does not
-// deduplicate keys, and checks the records against the execution log. `repeat_ratio` of them are
-// repeated, at once or when the first request was not answered.
-check_result run_keyed_requests(double repeat_ratio)
+// deduplicate keys and says that it leaves, and checks the records against its logs. `repeat_ratio`
+// of them are repeated, at once or when the first request was not answered.
+checked_run run_keyed_requests(double repeat_ratio)
 {
+    const std::string exchange_log_file = testing::TempDir() + "load_run_test_exchanges";
     const std::string execution_log_file = testing::TempDir() + "load_run_test_log";
     const std::string record_file = testing::TempDir() + "load_run_test_records";
     std::remove(execution_log_file.c_str());
-    auto group =
-        stand_in::make_backend_group({.service_time = milliseconds(0.0)}, execution_log_file);
+    std::remove(exchange_log_file.c_str());
+    auto group = stand_in::make_backend_group({.service_time = milliseconds(0.0)},
+                                              execution_log_file, exchange_log_file);
     EXPECT_TRUE(group);
+    (*group)->servers.front()->leaving = true;
     const auto handler = stand_in::make_backend_handler(*(*group)->servers.front());
     stand_in::connection_set connections;
     run_state state{.options = {.id_prefix = "test",
@@ -112,10 +122,16 @@
     start_run(state, context);
     run_to_completion(state, context);
     run_history history;
+    exchange_history exchanges;
     std::string line;
     for (std::ifstream file(record_file); std::getline(file, line);)
     {
         EXPECT_TRUE(add_record(history, line, record_file));
+        EXPECT_TRUE(add_caller_request(exchanges, line, record_file));
+    }
+    for (std::ifstream file(exchange_log_file); std::getline(file, line);)
+    {
+        EXPECT_TRUE(add_exchange(exchanges, line, exchange_log_file));
     }
     for (std::ifstream file(execution_log_file); std::getline(file, line);)
     {
@@ -123,25 +139,28 @@
     }
     EXPECT_EQ(state.report.total.sent, history.records);
     std::remove(execution_log_file.c_str());
+    std::remove(exchange_log_file.c_str());
     std::remove(record_file.c_str());
-    return check_history(history);
+    return {.executions = check_history(history), .statements = check_statements(exchanges)};
 }
 
-// Guards against records that cannot be matched to the execution log, for example because the ids
-// differ: the check could then not detect a violation.
+// Guards against records that cannot be matched to the logs, for example because the ids differ:
+// the checks could then not detect a violation.
 TEST(load_run, records_agree_with_the_execution_log)
 {
-    const check_result result = run_keyed_requests(0.0);
+    const auto [result, statements] = run_keyed_requests(0.0);
     EXPECT_EQ(result.records, 10U);
     EXPECT_EQ(result.executions, 10U);
     EXPECT_EQ(violation_count(result), 0U) << testing::PrintToString(result.examples);
+    EXPECT_EQ(statements.leaving_passed_on, 10U);
+    EXPECT_EQ(violation_count(statements), 0U) << testing::PrintToString(statements.examples);
 }
 
 // Guards against repeats without the idempotency key of the first request. With no daemon in
 // between, the server executes both, which the check must report.
 TEST(load_run, repeats_requests_with_the_same_key)
 {
-    const check_result result = run_keyed_requests(1.0);
+    const check_result result = run_keyed_requests(1.0).executions;
     EXPECT_GT(result.repeated_keys, 0U);
     EXPECT_EQ(result.records, 10U + result.repeated_keys);
     EXPECT_EQ(violation_count(result), result.repeated_keys);
