Fault tests of servers that leave, ask for pauses and start again

New cases of fleet_faults: server_leaving (with requests in progress), server_asks_for_pause (a server of two services, then all of one service), server_reborn_leaving (a lifetime that ended as leaving starts again at its address, under its id and under another one). Each fails also when no server said what the case is about.

The servers' exchange logs are written only for these tests; the benchmarks share the scripts and would measure the logs.

--- a/tools/fleet_common.sh
+++ b/tools/fleet_common.sh
@@ -1,6 +1,7 @@
 # Functions that start, use and stop a fleet on consecutive loopback ports; sourced by the other scripts.
 #
-# The caller sets: build (folder with bin/), base_port (first port), folder (for settings and logs), daemons (number).
+# The caller sets: build (folder with bin/), base_port (first port), folder (for settings and logs), daemons (number),
+# and log_exchanges=yes if the backend servers shall log all received requests.
 # Ports relative to base_port: platform +0, control ports of the services +1.., daemons +10.., their admin listeners
 # +30.., their peer listeners +50.., backend servers +100..
 # shellcheck shell=bash
@@ -50,7 +51,7 @@
 }
 
 start_stand_ins() {
-    local first=$((base_port + 100)) control=$((base_port + 1)) entry service slots count
+    local first=$((base_port + 100)) control=$((base_port + 1)) entry service slots count exchange_log
     "$build/bin/platform_stub" --listen "$ip:$base_port" --config "$folder/config.json" \
         >"$folder/platform.log" 2>&1 &
     stub_pids+=($!)
@@ -58,10 +59,12 @@
     for entry in "${services[@]}"; do
         read -r service slots <<<"$entry"
         count=$(grep -cE "\"name\": *\"$service-[0-9]+\", *\"data_centre\"" "$folder/config.json")
+        exchange_log=''
+        if [[ ${log_exchanges:-} == yes ]]; then exchange_log=$folder/$service.exchanges; fi
         "$build/bin/backend_stub" --service "$service" --listen "$ip:$first" --count "$count" \
             --control "$ip:$control" --slots "$slots" --queue 8 --service-ms "${FLEET_SERVICE_MS:-4}" \
             --cold-ms "${FLEET_COLD_MS:-500}" --cold-allowance "$slots" --log "$folder/$service.executions" \
-            >"$folder/$service.log" 2>&1 &
+            --exchange-log "$exchange_log" >"$folder/$service.log" 2>&1 &
         stub_pids+=($!)
         echo "service       $service: $count servers from $ip:$first, control $ip:$control"
         first=$((first + count))
--- a/tools/fleet_faults.sh
+++ b/tools/fleet_faults.sh
@@ -4,8 +4,9 @@
 # "N passed, N failed" as the last line.
 #
 # usage: tools/fleet_faults.sh [CASE...] BUILD_DIR
-#   CASE is planned_stop, key_withdrawn, service_down, service_stale, paused_daemon, server_restart or
-#   data_centre_out; without a CASE all run. "service" in a name is the platform's configuration service.
+#   CASE is planned_stop, key_withdrawn, service_down, service_stale, paused_daemon, server_restart, server_leaving,
+#   server_asks_for_pause, server_reborn_leaving or data_centre_out; without a CASE all run. "service" in a name is the
+#   platform's configuration service, "server" a backend server.
 # environment:
 #   FAULTS_PORT    first port of the shared fleet (32000); the demo's fleet is at +500. All must be below the ephemeral
 #                  port range, from which any outgoing connection may take a port.
@@ -13,7 +14,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-all_cases=(key_withdrawn service_stale service_down paused_daemon server_restart planned_stop data_centre_out)
+all_cases=(key_withdrawn service_stale service_down paused_daemon server_restart planned_stop server_leaving
+    server_asks_for_pause server_reborn_leaving data_centre_out)
 if (($# == 0)); then
     echo "usage: tools/fleet_faults.sh [CASE...] BUILD_DIR" >&2
     exit 2
@@ -30,6 +32,8 @@
 
 base_port=${FAULTS_PORT:-32000}
 daemons=4
+# shellcheck disable=SC2034 # Read by fleet_common.sh.
+log_exchanges=yes
 folder=${FAULTS_FOLDER:-$(mktemp -d)}
 mkdir -p "$folder"
 # shellcheck source=tools/fleet_common.sh
@@ -150,6 +154,47 @@
     if ((code != 0)); then add_failure "check_records: $(tr -s ' \n' ' ' <"$folder/check")"; fi
 }
 
+# Waits until a server runs a request: up to 100 times, 0.05 s apart.
+await_running() { # SERVICE_NUMBER SERVER
+    local tries counters
+    for ((tries = 0; tries < 100; tries++)); do
+        counters=$(curl -sf -m 1 "http://$ip:$((base_port + $1))/control/counters" || true)
+        if [[ $counters =~ \"name\":\"$2\",\"running\":[1-9] ]]; then return; fi
+        sleep 0.05
+    done
+    add_failure "$2 ran no request for 5 s, so the case tested nothing"
+}
+
+# Compares the records of the last load with what the servers received of it. Fails the case if requests reached a
+# server against what it had said of itself, or if no server said what the case is about.
+check_statements() { # COUNT, a line of check_records: leaving_passed_on or pauses
+    sleep 1 # Time for executions whose caller timed out to end and be logged.
+    local code=0 kind own="\"caller_id\":\"run$load_number-"
+    for kind in executions exchanges; do
+        cat "$folder"/*.$kind | { grep -F "$own" || true; } >"$folder/checked-$kind"
+    done
+    "$build/bin/check_records" --records "$records" --executions "$folder/checked-executions" \
+        --exchanges "$folder/checked-exchanges" >"$folder/check" || code=$?
+    if ((code != 0)); then add_failure "check_records: $(tr -s ' \n' ' ' <"$folder/check")"; fi
+    if ! grep -qE "^$1 +[1-9]" "$folder/check"; then add_failure "no answer counted as $1, so the case tested nothing"; fi
+}
+
+# Prints how many requests of the last load a server received from a time on. Requires check_statements before.
+count_received() { # SERVER FROM_US
+    awk -v server="\"server\":\"$1\"" -v from="$2" '
+        index($0, server) { match($0, /"received_us":[0-9]+/)
+                            if (substr($0, RSTART + 14, RLENGTH - 14) + 0 >= from) count++ }
+        END { print count + 0 }' "$folder/checked-exchanges"
+}
+
+# Writes the records of the last load that were due in a part of the run to the file $part.
+select_records() { # FROM_MS UNTIL_MS
+    part=$folder/part
+    awk -v from="$1" -v until="$2" '
+        { match($0, /"at_ms":[0-9.E+-]+/); at = substr($0, RSTART + 8, RLENGTH - 8) + 0
+          if (at >= from && at < until) print }' "$records" >"$part"
+}
+
 expect_90_percent_answered() { # WHAT ANSWERED SENT; 90 % is far below what a healthy fleet answers.
     if (($2 * 10 < $3 * 9 || $3 == 0)); then add_failure "only $2 of $3 $1 were answered; expected at least 90 %"; fi
 }
@@ -316,6 +361,87 @@
     check_all_records
 }
 
+# Guards against requests to a server that says in its answers that it leaves, and against failures of those that it
+# runs meanwhile. Each server is slow at first, so that it leaves with requests in progress.
+case_server_leaving() {
+    start_load 11
+    sleep 2
+    send_server_command 1 "slow?server=patterns-1&factor=25"
+    await_running 1 patterns-1
+    send_server_command 1 "leave?server=patterns-1"
+    send_server_command 1 "normal?server=patterns-1"
+    send_server_command 2 "slow?server=orders-1&factor=25"
+    await_running 2 orders-1
+    send_server_command 2 "leave?server=orders-1"
+    send_server_command 2 "normal?server=orders-1"
+    end_load
+    send_server_command 1 "restart?server=patterns-1"
+    send_server_command 2 "restart?server=orders-1"
+    # shellcheck disable=SC2046
+    set -- $(count_answered_orders "$records")
+    expect_90_percent_answered orders "$2" "$1"
+    # shellcheck disable=SC2046
+    set -- $(count_answered_idempotent "$records")
+    expect_90_percent_answered "idempotent requests" "$2" "$1"
+    check_statements leaving_passed_on
+}
+
+# Guards against requests to servers that have rejected one and asked for a pause: first a server of two services, then
+# all of one service. The other servers must answer meanwhile, and the service after its pause.
+case_server_asks_for_pause() {
+    start_load 13
+    sleep 2
+    send_server_command 1 "pause?server=patterns-1&retry_after=2.5&ms=2000"
+    send_server_command 2 "pause?server=orders-1&retry_after=2.5&ms=2000"
+    sleep 4.5
+    send_server_command 1 "pause?retry_after=2.5&ms=2000"
+    end_load
+    # shellcheck disable=SC2046
+    set -- $(count_answered_orders "$records")
+    expect_90_percent_answered orders "$2" "$1"
+    select_records 0 6000
+    # shellcheck disable=SC2046
+    set -- $(count_answered_idempotent "$part")
+    expect_90_percent_answered "idempotent requests with one server in a pause" "$2" "$1"
+    grep -v '"route":"/patterns"' "$records" >"$folder/others"
+    # shellcheck disable=SC2046
+    set -- $(count_answered_idempotent "$folder/others")
+    expect_90_percent_answered "idempotent requests to other services" "$2" "$1"
+    select_records 10500 13000
+    # shellcheck disable=SC2046
+    set -- $(count_answered_idempotent "$part")
+    expect_90_percent_answered "idempotent requests after the pause" "$2" "$1"
+    check_statements pauses
+}
+
+# Guards against a server that gets no requests after its restart because its earlier lifetime said that it leaves:
+# patterns-1 starts again under the same id, patterns-2 under another one, both at the same address.
+case_server_reborn_leaving() {
+    local restarted_at_us server
+    start_load 15
+    sleep 1
+    send_server_command 1 "leave?server=patterns-1"
+    send_server_command 1 "leave?server=patterns-2"
+    sleep 5
+    send_server_command 1 "restart?server=patterns-1"
+    send_server_command 1 "restart?server=patterns-2&id=patterns-2b"
+    restarted_at_us=$(now_us)
+    sed -i 's/"patterns-2"/"patterns-2b"/' "$folder/config.json"
+    publish
+    end_load
+    # shellcheck disable=SC2046
+    set -- $(count_answered_idempotent "$records")
+    expect_90_percent_answered "idempotent requests" "$2" "$1"
+    check_statements leaving_passed_on
+    for server in patterns-1 patterns-2b; do
+        if (($(count_received $server "$restarted_at_us") == 0)); then add_failure "$server got no request after its restart"; fi
+    done
+    send_server_command 1 "restart?server=patterns-2b&id=patterns-2"
+    sed -i 's/"patterns-2b"/"patterns-2"/' "$folder/config.json"
+    publish
+    await_version "$version" $propagation_limit_s
+}
+
 # Guards against requests in a data centre that is out of service; see tools/demo.sh.
 case_data_centre_out() {
     local code=0
