--- a/apps/check_records.cpp
+++ b/apps/check_records.cpp
@@ -18,21 +18,25 @@
 
 using namespace zinniaferry;
 
+// Adds the lines of all files that an option names.
 template <class History>
-core::result<void> read_file_lines(History& history, const std::string& name,
-                                   core::result<void> (*add)(History&, std::string_view,
-                                                             const std::string&))
+core::result<void>
+read_lines(History& history, const cxxopts::ParseResult& options, const char* option,
+           core::result<void> (*add)(History&, std::string_view, const std::string&))
 {
-    std::ifstream file(name);
-    if (!file)
+    for (const auto& name : options[option].as<std::vector<std::string>>())
     {
-        return boost::leaf::new_error(
-            core::file_error{.file = name, .error_number = errno != 0 ? errno : EIO});
-    }
-    std::string line;
-    while (std::getline(file, line))
-    {
-        BOOST_LEAF_CHECK(add(history, line, name));
+        std::ifstream file(name);
+        if (!file)
+        {
+            return boost::leaf::new_error(
+                core::file_error{.file = name, .error_number = errno != 0 ? errno : EIO});
+        }
+        std::string line;
+        while (std::getline(file, line))
+        {
+            BOOST_LEAF_CHECK(add(history, line, name));
+        }
     }
     return {};
 }
@@ -41,10 +45,12 @@
 core::result<void> add_interruption(load::exchange_history& history, const std::string& text)
 {
     const std::size_t at = text.find('@');
+    const std::string_view time =
+        at == std::string::npos ? "" : std::string_view(text).substr(at + 1);
     std::int64_t time_us = 0;
-    const char* end = text.data() + text.size();
-    if (at == std::string::npos || std::from_chars(text.data() + at + 1, end, time_us).ptr != end ||
-        at + 1 == text.size())
+    const char* end = time.data() + time.size();
+    const auto parsed = std::from_chars(time.data(), end, time_us);
+    if (parsed.ec != std::errc() || parsed.ptr != end)
     {
         return boost::leaf::new_error(core::document_error{.file = "options",
                                                            .path = "--interrupted",
@@ -58,28 +64,16 @@
 core::result<load::check_result> check_executions(const cxxopts::ParseResult& options)
 {
     load::run_history history;
-    for (const auto& name : options["records"].as<std::vector<std::string>>())
-    {
-        BOOST_LEAF_CHECK(read_file_lines(history, name, load::add_record));
-    }
-    for (const auto& name : options["executions"].as<std::vector<std::string>>())
-    {
-        BOOST_LEAF_CHECK(read_file_lines(history, name, load::add_execution));
-    }
+    BOOST_LEAF_CHECK(read_lines(history, options, "records", load::add_record));
+    BOOST_LEAF_CHECK(read_lines(history, options, "executions", load::add_execution));
     return load::check_history(history);
 }
 
 core::result<load::statement_result> check_exchanges(const cxxopts::ParseResult& options)
 {
     load::exchange_history history;
-    for (const auto& name : options["records"].as<std::vector<std::string>>())
-    {
-        BOOST_LEAF_CHECK(read_file_lines(history, name, load::add_caller_request));
-    }
-    for (const auto& name : options["exchanges"].as<std::vector<std::string>>())
-    {
-        BOOST_LEAF_CHECK(read_file_lines(history, name, load::add_exchange));
-    }
+    BOOST_LEAF_CHECK(read_lines(history, options, "records", load::add_caller_request));
+    BOOST_LEAF_CHECK(read_lines(history, options, "exchanges", load::add_exchange));
     if (options.count("interrupted") > 0)
     {
         for (const auto& text : options["interrupted"].as<std::vector<std::string>>())
