Let a stand-in server leave for sure with a request in progress

Cause: on a trial join with a daemon that reads the headers, server_reborn_leaving failed with "no answer counted as leaving_passed_on": the daemon knew from health checks that the servers leave, so no caller got such an answer and the case could not tell this from a case that tests nothing.

slow?add_ms adds a fixed time, so that a request runs long enough for the next command to arrive. server_leaving and server_reborn_leaving make orders-1 leave so: orders are not hedged, so its answer is the one that the caller gets. In server_reborn_leaving patterns-1 and patterns-2 stay the restarted servers.

--- a/src/stand_in/backend.cpp
+++ b/src/stand_in/backend.cpp
@@ -49,7 +49,9 @@
     const backend_options& options = server.group->options;
     const double factor =
         options.fixed_service_time ? 1.0 : -std::log(1.0 - core::uniform(server.group->random));
-    return options.service_time * factor * service_time_factor(server);
+    const milliseconds added =
+        server.mode == backend_mode::slow ? server.slow_by : milliseconds(0.0);
+    return options.service_time * factor * service_time_factor(server) + added;
 }
 
 std::string format_current_load(const backend& server)
--- a/src/stand_in/backend.hpp
+++ b/src/stand_in/backend.hpp
@@ -48,7 +48,7 @@
 enum class backend_mode
 {
     normal,
-    slow,      ///< Service times are multiplied by the server's `slow_factor`.
+    slow,      ///< Service times are multiplied by `slow_factor`, and `slow_by` is added.
     fail_fast, ///< Responds 500 at once without executing the request; health checks fail too.
     draining,  ///< Rejects new requests as not executed.
     pausing,   ///< Rejects new requests as not executed and states `retry_after`.
@@ -95,6 +95,7 @@
     std::string name;
     backend_mode mode = backend_mode::normal;
     double slow_factor = 1.0;                ///< Factor on the service time in the mode `slow`.
+    milliseconds slow_by{0.0};               ///< Added to the service time in the mode `slow`.
     core::duration retry_after{};            ///< `Retry-After` of rejections in the mode `pausing`.
     backend_clock::time_point pausing_until; ///< End of the mode `pausing`.
     bool leaving = false;                    ///< All answers of this lifetime say so.
--- a/src/stand_in/backend_control.cpp
+++ b/src/stand_in/backend_control.cpp
@@ -125,6 +125,7 @@
     {
         server.mode = mode->second;
         server.slow_factor = find_number(request.query, "factor").value_or(10.0);
+        server.slow_by = milliseconds(find_number(request.query, "add_ms").value_or(0.0));
     }
     else if (command == "pause")
     {
--- a/test/correctness/stand_in/backend_test.cpp
+++ b/test/correctness/stand_in/backend_test.cpp
@@ -182,6 +182,17 @@
     EXPECT_EQ(first().counters.executions, 3U);
 }
 
+// Guards against requests that end before a test acts on them although the server was made slow.
+TEST_F(backend_test, a_slow_server_takes_the_added_time)
+{
+    make_group({.service_time = milliseconds(0.0)});
+    ASSERT_EQ(control("slow", {{"factor", "1"}, {"add_ms", "1000000000"}}), 200U);
+    http_request request = make_work_request({{"x-zinnia-deadline-ms", "5"}});
+    EXPECT_EQ(get_response(context, handler, request).status, 504U);
+    ASSERT_EQ(control("normal"), 200U);
+    EXPECT_EQ(get_response(context, handler, make_work_request()).status, 200U);
+}
+
 // Guards against answers that omit that the server leaves: health checks, rejections, and requests
 // that were in progress when it began to leave; and against a later lifetime that still says so.
 TEST_F(backend_test, says_in_every_answer_that_it_leaves_until_its_lifetime_ends)
--- a/tools/fleet_faults.sh
+++ b/tools/fleet_faults.sh
@@ -155,15 +155,19 @@
     if ((code != 0)); then add_failure "check_records: $(tr -s ' \n' ' ' <"$folder/check")"; fi
 }
 
-# Waits until a server runs a request: up to 100 times, 0.05 s apart.
-await_running() { # SERVICE_NUMBER SERVER
-    local tries counters
+# Makes a server leave while it runs a request, for which it waits up to 100 times, 0.05 s apart.
+leave_in_progress() { # SERVICE_NUMBER SERVER
+    local tries counters=''
+    # The request takes long enough for the commands to arrive before it ends.
+    send_server_command "$1" "slow?server=$2&factor=1&add_ms=400"
     for ((tries = 0; tries < 100; tries++)); do
         counters=$(curl -sf -m 1 "http://$ip:$((base_port + $1))/control/counters" || true)
-        if [[ $counters =~ \"name\":\"$2\",\"running\":[1-9] ]]; then return; fi
+        if [[ $counters =~ \"name\":\"$2\",\"running\":[1-9] ]]; then break; fi
         sleep 0.05
     done
-    add_failure "$2 ran no request for 5 s, so the case tested nothing"
+    if ((tries == 100)); then add_failure "$2 ran no request for 5 s, so the case tested nothing"; fi
+    send_server_command "$1" "leave?server=$2"
+    send_server_command "$1" "normal?server=$2"
 }
 
 # Compares the records of the last load with what the servers received of it. Fails the case if requests reached a
@@ -369,18 +373,12 @@
 }
 
 # Guards against requests to a server that says in its answers that it leaves, and against failures of those that it
-# runs meanwhile. Each server is slow at first, so that it leaves with requests in progress.
+# runs meanwhile.
 case_server_leaving() {
     start_load 11
     sleep 2
-    send_server_command 1 "slow?server=patterns-1&factor=25"
-    await_running 1 patterns-1
-    send_server_command 1 "leave?server=patterns-1"
-    send_server_command 1 "normal?server=patterns-1"
-    send_server_command 2 "slow?server=orders-1&factor=25"
-    await_running 2 orders-1
-    send_server_command 2 "leave?server=orders-1"
-    send_server_command 2 "normal?server=orders-1"
+    leave_in_progress 1 patterns-1
+    leave_in_progress 2 orders-1
     end_load
     send_server_command 1 "restart?server=patterns-1"
     send_server_command 2 "restart?server=orders-1"
@@ -422,11 +420,13 @@
 }
 
 # Guards against a server that gets no requests after its restart because its earlier lifetime said that it leaves:
-# patterns-1 starts again under the same id, patterns-2 under another one, both at the same address.
+# patterns-1 starts again under the same id, patterns-2 under another one, both at the same address. A caller surely gets
+# an answer with leaving from orders-1; the others may be known to leave from health checks alone.
 case_server_reborn_leaving() {
     local restarted_at_us
     start_load 600
     sleep 1
+    leave_in_progress 2 orders-1
     send_server_command 1 "leave?server=patterns-1"
     send_server_command 1 "leave?server=patterns-2"
     sleep 5
@@ -443,6 +443,7 @@
     set -- $(count_answered_idempotent "$records")
     expect_90_percent_answered "idempotent requests" "$2" "$1"
     check_statements leaving_passed_on
+    send_server_command 2 "restart?server=orders-1"
     send_server_command 1 "restart?server=patterns-2b&id=patterns-2"
     sed -i 's/"patterns-2b"/"patterns-2"/' "$folder/config.json"
     publish
