--- a/src/load/client.cpp
+++ b/src/load/client.cpp
@@ -97,6 +97,12 @@
     return pool;
 }
 
+std::string target_address(const connection_pool& pool, std::size_t target)
+{
+    const tcp::endpoint& endpoint = pool.targets[target];
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
 asio::awaitable<request_result> send_once(std::shared_ptr<connection_pool> pool,
                                           client_request request)
 {
@@ -157,6 +163,7 @@
         // The server may have executed a request that it responds to with a failure.
         result.outcome = is_success ? outcome::answered : outcome::unknown;
         result.verdict = verdict::whole;
+        result.server = stand_in::find_answering_server(body);
         return result;
     case body_check::crossed:
         result.verdict = verdict::crossed;
--- a/tools/fleet_faults.sh
+++ b/tools/fleet_faults.sh
@@ -4,8 +4,9 @@
 # "N passed, N failed" as the last line.
 #
 # usage: tools/fleet_faults.sh [CASE...] BUILD_DIR
-#   CASE is planned_stop, key_withdrawn, service_down, service_stale, paused_daemon, server_restart or
-#   data_centre_out; without a CASE all run. "service" in a name is the platform's configuration service.
+#   CASE is planned_stop, key_withdrawn, service_down, service_stale, paused_daemon, server_restart, server_leaving,
+#   server_asks_for_pause, server_reborn_leaving or data_centre_out; without a CASE all run. "service" in a name is the
+#   platform's configuration service, "server" a backend server.
 # environment:
 #   FAULTS_PORT    first port of the shared fleet (32000); the demo's fleet is at +500. All must be below the ephemeral
 #                  port range, from which any outgoing connection may take a port.
@@ -13,7 +14,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-all_cases=(key_withdrawn service_stale service_down paused_daemon server_restart planned_stop data_centre_out)
+all_cases=(key_withdrawn service_stale service_down paused_daemon server_restart planned_stop server_leaving
+    server_asks_for_pause server_reborn_leaving data_centre_out)
 if (($# == 0)); then
     echo "usage: tools/fleet_faults.sh [CASE...] BUILD_DIR" >&2
     exit 2
@@ -30,6 +32,8 @@
 
 base_port=${FAULTS_PORT:-32000}
 daemons=4
+# shellcheck disable=SC2034 # Read by fleet_common.sh.
+log_exchanges=yes
 folder=${FAULTS_FOLDER:-$(mktemp -d)}
 mkdir -p "$folder"
 # shellcheck source=tools/fleet_common.sh
@@ -327,6 +331,9 @@
     if ((code != 0)); then add_failure "tools/demo.sh: $(grep '^failed: ' "$folder/demo.out" | tr '\n' ' ' || true)"; fi
 }
 
+# shellcheck source=tools/fleet_server_cases.sh
+source tools/fleet_server_cases.sh
+
 if [[ ${cases[*]} != data_centre_out ]]; then
     prepare_fleet kandy
     write_mix
