Keep what backend servers say of themselves, apart from the listing

The listing can lag behind that for seconds, lapses while the store is away, and may still say "ready", so a daemon goes on sending to such a server.

routing/server_notices keeps both beliefs by id and incarnation, with source, age and end. Servers that pause count as not suspect in the fraction that decides whether suspect servers get requests.

Ruled out: members of routing::backend, which are lost with the listing; a draining state, which a listing lifts.

--- a/deploy/deploy.cmake
+++ b/deploy/deploy.cmake
@@ -6,7 +6,7 @@
     fleet/hub_choice fleet/hub_messages fleet/registry fleet/replica limits/account_pools limits/probe_budget limits/retry_budget limits/token_bucket net/backend_connection_pool net/caller_session net/daemon net/daemon_program net/deadline_timer net/endpoint
     net/event_log net/gateway net/gateway_metrics net/grant_requests net/http_client net/hub_links net/message_rules net/process_lifecycle
     net/request_attempt net/request_durations net/request_handler net/status_listener net/backend_selection request/hedging request/progress request/refusal
-    routing/backends routing/candidates routing/load_reading)
+    routing/backends routing/candidates routing/load_reading routing/server_notices)
 list(TRANSFORM DEPLOYED PREPEND src/)
 list(TRANSFORM DEPLOYED APPEND .cpp)
 file(GLOB ADAPTER CONFIGURE_DEPENDS platform/*.cpp)
--- a/src/routing/backends.cpp
+++ b/src/routing/backends.cpp
@@ -129,6 +129,13 @@
     return names.at(static_cast<std::size_t>(value));
 }
 
+const char* to_string(pass_over_reason value)
+{
+    constexpr std::array names = {"draining",     "out_of_service", "leaving", "retry_later",
+                                  "unresponsive", "suspect",        "cold",    "no_capacity"};
+    return names.at(static_cast<std::size_t>(value));
+}
+
 void apply_listing(backend_set& set, const listed_backend& listed, core::time_point now)
 {
     backend_pointer& entry = set.by_id[listed.id];
@@ -188,12 +195,20 @@
     set.data_centres_out_of_service = std::move(data_centres);
 }
 
+bool is_withheld(const backend_set& set, const backend& server, core::time_point now)
+{
+    const listed_backend& listed = server.listed;
+    return is_leaving(set.notices, listed.id, listed.incarnation, now) ||
+           retry_later_until(set.notices, listed.id, listed.incarnation, now);
+}
+
 std::vector<backend_pointer> take_due_probes(backend_set& set, core::time_point now)
 {
     std::vector<backend_pointer> out;
     for (const auto& [id, server] : set.by_id)
     {
-        if (server->state == backend_state::suspect && now >= server->next_probe_at)
+        if (server->state == backend_state::suspect && now >= server->next_probe_at &&
+            !is_withheld(set, *server, now))
         {
             server->next_probe_at = now + base_probe_interval;
             out.push_back(server);
@@ -223,6 +238,11 @@
     }
 }
 
+void on_load_probe_abandoned(backend& server)
+{
+    server.load_probe_pending_since.reset();
+}
+
 void on_sent(backend& server)
 {
     ++server.in_flight;
@@ -314,6 +334,7 @@
                        {"service", server->listed.service},
                        {"data_centre", server->listed.data_centre},
                        {"state", to_string(server->state)},
+                       {"withheld", is_withheld(set, *server, now)},
                        {"in_flight", server->in_flight},
                        {"error_rate", error_rate(*server, now)},
                        {"slowness", server->slowness}});
--- a/src/routing/backends.hpp
+++ b/src/routing/backends.hpp
@@ -5,9 +5,11 @@
 #include "chart/chart.hpp"
 #include "core/time.hpp"
 #include "routing/load_reading.hpp"
+#include "routing/server_notices.hpp"
 
 #include <boost/json.hpp>
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -103,6 +105,21 @@
     double cold_overage = 1.5; ///< Factor on `warmup_rate` that a server tolerates.
 };
 
+/// Why a selection leaves a listed server out; the names are those in metrics.
+enum class pass_over_reason
+{
+    draining,       ///< Listed as about to leave.
+    out_of_service, ///< Its data centre is out of service.
+    leaving,        ///< It has said that it leaves.
+    retry_later,    ///< It has said that it wants nothing for a time.
+    unresponsive,   ///< A load probe is late or was not answered.
+    suspect,        ///< It failed, and others of its service have not.
+    cold,           ///< It is warming up and may get nothing now, or others are warm.
+    no_capacity     ///< It responded, but has no capacity for the request.
+};
+inline constexpr std::size_t pass_over_reason_count =
+    static_cast<std::size_t>(pass_over_reason::no_capacity) + 1;
+
 /// All backend servers known to this daemon.
 struct backend_set
 {
@@ -114,6 +131,9 @@
     /// Names of the fleet's daemons; they share the rate that a cold server tolerates.
     std::vector<std::string> members;
     bool are_members_known = true; ///< While false, nothing is sent to cold servers.
+    server_notices notices;        ///< What servers said of themselves; listed or not.
+    /// Servers left out in selections, by pass_over_reason.
+    std::array<std::uint64_t, pass_over_reason_count> passed_over{};
 };
 
 /// Why a request or probe failed; the names are those in the log.
@@ -130,6 +150,7 @@
 
 const char* to_string(backend_state value);
 const char* to_string(failure_kind value);
+const char* to_string(pass_over_reason value);
 
 /// Adds a listed server or updates it. A listing with another incarnation, address or service
 /// replaces the server and discards its observations.
@@ -155,17 +176,25 @@
 /// Moves a cold server to serving once its warm-up time has passed.
 void end_warmup_if_due(backend& server, core::time_point now);
 
-/// Returns the suspect servers whose trial probe is due, and schedules their next one.
+/// Returns whether the server has said that it leaves, or that it wants nothing for a time. Such a
+/// server must get nothing, probes included.
+bool is_withheld(const backend_set& set, const backend& server, core::time_point now);
+
+/// Returns the suspect servers whose trial probe is due, and schedules their next one. The probes
+/// of withheld servers wait.
 std::vector<backend_pointer> take_due_probes(backend_set& set, core::time_point now);
 
-/// Records that a load probe is sent. It ends with on_load_reading, on_load_probe_unanswered or
-/// on_failed.
+/// Records that a load probe is sent. It ends with on_load_reading, on_load_probe_unanswered,
+/// on_load_probe_abandoned or on_failed.
 void on_load_probe_sent(backend& server, core::time_point now);
 /// Records that the server closed the connection of a load probe without a response, or did not
 /// answer the probe, although it accepts connections. The server is skipped until `skip_until`;
 /// several such probes in a row make it suspect.
 void on_load_probe_unanswered(backend& server, core::time_point now);
 
+/// Records that a load probe is not sent after all, which says nothing about the server.
+void on_load_probe_abandoned(backend& server);
+
 /// Records that a request is sent to the server.
 void on_sent(backend& server);
 /// Records a load that the server reported. A `warmup_left` above zero makes a serving or
--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -24,6 +24,9 @@
 constexpr core::duration max_slowdown_cost = std::chrono::milliseconds(60);
 /// A server that has not answered a load probe within this time is taken to be full.
 constexpr core::duration max_load_probe_delay = std::chrono::milliseconds(40);
+/// When callers of a service whose servers all leave are to retry: a new server is usually listed
+/// by then.
+constexpr core::duration leaving_service_pause = std::chrono::seconds(1);
 /// Members of the fleet that send to one cold server.
 constexpr std::size_t senders_per_cold_server = 2;
 
@@ -114,11 +117,71 @@
 
 } // namespace
 
-bool is_eligible(const backend_set& set, const backend& server, core::time_point)
+bool is_eligible(const backend_set& set, const backend& server, core::time_point now)
 {
-    return !is_out_of_service(set, server) &&
-           (server.state == backend_state::serving || server.state == backend_state::cold ||
-            server.state == backend_state::suspect);
+    return server.state != backend_state::gone && !ineligibility(set, server, now);
+}
+
+std::optional<pass_over_reason> ineligibility(const backend_set& set, const backend& server,
+                                              core::time_point now)
+{
+    const listed_backend& listed = server.listed;
+    if (server.state == backend_state::draining)
+    {
+        return pass_over_reason::draining;
+    }
+    if (is_out_of_service(set, server))
+    {
+        return pass_over_reason::out_of_service;
+    }
+    if (is_leaving(set.notices, listed.id, listed.incarnation, now))
+    {
+        return pass_over_reason::leaving;
+    }
+    if (retry_later_until(set.notices, listed.id, listed.incarnation, now))
+    {
+        return pass_over_reason::retry_later;
+    }
+    return std::nullopt;
+}
+
+void count_passed_over(backend_set& set, pass_over_reason reason)
+{
+    ++set.passed_over.at(static_cast<std::size_t>(reason));
+}
+
+std::optional<core::duration> service_pause(const backend_set& set, const std::string& service,
+                                            std::span<const backend_pointer> excluded,
+                                            core::time_point now)
+{
+    const auto found = set.by_service.find(service);
+    if (found == set.by_service.end())
+    {
+        return std::nullopt;
+    }
+    bool any_withheld = false;
+    std::optional<core::time_point> soonest;
+    for (const backend_pointer& server : found->second)
+    {
+        const auto reason = ineligibility(set, *server, now);
+        if (!reason && !is_excluded(excluded, server))
+        {
+            return std::nullopt;
+        }
+        any_withheld = any_withheld || reason == pass_over_reason::leaving ||
+                       reason == pass_over_reason::retry_later;
+        if (reason == pass_over_reason::retry_later)
+        {
+            const auto until =
+                retry_later_until(set.notices, server->listed.id, server->listed.incarnation, now);
+            soonest = std::min(soonest.value_or(*until), *until);
+        }
+    }
+    if (!any_withheld)
+    {
+        return std::nullopt;
+    }
+    return soonest ? *soonest - now : leaving_service_pause;
 }
 
 bool is_full(const backend& server, core::time_point now)
@@ -180,7 +243,7 @@
     std::vector<ranked_server> serving;
     std::vector<ranked_server> suspect;
     std::vector<ranked_server> cold;
-    std::size_t unresponsive = 0;
+    std::size_t unavailable = 0; // Not suspect, but not to be used now.
     const auto found = set.by_service.find(service);
     if (found == set.by_service.end())
     {
@@ -189,13 +252,21 @@
     for (const backend_pointer& server : found->second)
     {
         end_warmup_if_due(*server, now);
-        if (!is_eligible(set, *server, now) || is_excluded(excluded, server))
+        if (is_excluded(excluded, server))
+        {
+            continue;
+        }
+        if (const auto reason = ineligibility(set, *server, now))
         {
+            count_passed_over(set, *reason);
+            const bool is_paused = reason == pass_over_reason::retry_later;
+            unavailable += is_paused && server->state != backend_state::suspect ? 1 : 0;
             continue;
         }
         if (is_unresponsive(*server, now))
         {
-            ++unresponsive;
+            count_passed_over(set, pass_over_reason::unresponsive);
+            ++unavailable;
             continue;
         }
         // Random jitter breaks ties, so that daemons with equal views spread their requests.
@@ -220,9 +291,13 @@
         {
             out.push_back(entry.server);
         }
+        else
+        {
+            count_passed_over(set, pass_over_reason::cold);
+        }
     }
     const double total =
-        static_cast<double>(serving.size() + suspect.size() + cold.size() + unresponsive);
+        static_cast<double>(serving.size() + suspect.size() + cold.size() + unavailable);
     if (out.empty() || static_cast<double>(suspect.size()) > total * max_suspect_fraction)
     {
         sort_by_cost(suspect);
@@ -234,6 +309,10 @@
             }
         }
     }
+    else
+    {
+        set.passed_over.at(static_cast<std::size_t>(pass_over_reason::suspect)) += suspect.size();
+    }
     return out;
 }
 
--- a/src/routing/candidates.hpp
+++ b/src/routing/candidates.hpp
@@ -5,6 +5,7 @@
 #include "core/random.hpp"
 #include "routing/backends.hpp"
 
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -17,16 +18,32 @@
 /// Returns up to `count` servers of the service that may get a request now. Serving ones come
 /// first, by ascending cost; one cold server is returned only when there is none, and spends a
 /// token of its rate; suspect ones come last, when there is no other or most servers are suspect.
-/// Servers in `excluded` and servers with a late or recently unanswered load probe are left out.
+/// Servers in `excluded`, withheld servers, and servers with a late or recently unanswered load
+/// probe are left out. Counts the servers that were passed over.
 std::vector<backend_pointer> select_candidates(backend_set& set, const std::string& service,
                                                std::span<const backend_pointer> excluded,
                                                std::size_t count, core::time_point now,
                                                core::random_generator& random);
 
-/// Returns whether the server's state and its data centre allow it to get a request. Checked again
-/// right before a request is sent, because the server may have left while others were probed.
+/// Returns whether the server's state, its data centre and its notices allow it to get a request.
+/// Checked again right before a request is sent, because the server may have left while others were
+/// probed.
 bool is_eligible(const backend_set& set, const backend& server, core::time_point now);
 
+/// Returns why the server is not eligible; nothing for an eligible or an unlisted server.
+std::optional<pass_over_reason> ineligibility(const backend_set& set, const backend& server,
+                                              core::time_point now);
+
+/// Counts a server that a selection left out.
+void count_passed_over(backend_set& set, pass_over_reason reason);
+
+/// How long a service takes nothing because of what its servers said. Returns nothing if another
+/// server may still become a candidate of a request that excludes `excluded`. Servers that leave
+/// don't come back; if all do, the time in which others usually take their place is returned.
+std::optional<core::duration> service_pause(const backend_set& set, const std::string& service,
+                                            std::span<const backend_pointer> excluded,
+                                            core::time_point now);
+
 /// Returns a cost to rank servers by: the expected latency of a request in seconds, raised by the
 /// error rate and for another data centre.
 double expected_cost(const backend_set& set, const backend& server, core::time_point now);
