Read the notices of backend servers from every response

Nothing read these headers, and both reached callers as if they were the daemon's own advice.

The connection pool knows the server of each connection and reports both headers as soon as a response header is complete: of requests, retries, hedged requests, load probes, trial probes, responses to earlier requests, and responses that end incomplete or are cancelled. A response of another server (421, or another server id) does not count. The gateway records and logs them. Probes check the server again once they are connected, and select_best checks it again before the request is sent. A value that is not valid is ignored with a log line. The headers are not passed on to callers.

Ruled out: reading them in settle_response and after each probe, which misses cancelled, late and incomplete responses; spreading them by hubs (docs/design.md, section 4).

With the check in select_best taken out, and with cancelled responses reported as those of a request, a_notice_during_a_selection_counts and a_response_that_nobody_waits_for_counts fail. Not tested: the check between the connection and the probe.

--- a/deploy/deploy.cmake
+++ b/deploy/deploy.cmake
@@ -4,7 +4,7 @@
 set(DEPLOYED
     chart/chart config/address config/index config/model config/text_file core/command_line core/digest core/error core/hash
     fleet/hub_choice fleet/hub_messages fleet/registry fleet/replica limits/account_pools limits/probe_budget limits/retry_budget limits/token_bucket net/backend_connection_pool net/caller_session net/daemon net/daemon_program net/deadline_timer net/endpoint
-    net/event_log net/gateway net/gateway_metrics net/grant_requests net/http_client net/hub_links net/message_rules net/process_lifecycle
+    net/event_log net/gateway net/gateway_metrics net/grant_requests net/http_client net/hub_links net/message_rules net/notice_headers net/process_lifecycle
     net/request_attempt net/request_durations net/request_handler net/status_listener net/backend_selection request/hedging request/progress request/refusal
     routing/backends routing/candidates routing/load_reading routing/server_notices)
 list(TRANSFORM DEPLOYED PREPEND src/)
--- a/src/net/backend_connection_pool.cpp
+++ b/src/net/backend_connection_pool.cpp
@@ -130,6 +130,7 @@
         co_return nullptr;
     }
     auto connection = std::make_shared<backend_connection>(io_);
+    connection->server = {server.listed.id, server.listed.incarnation};
     connection->timer.expires_after(options.connect_timeout);
     error_code error;
     co_await connection->socket.async_connect(*endpoint, redirect_error_to(error));
@@ -162,6 +163,12 @@
                                   redirect_error_to(error));
     }
     connection->timer.clear();
+    if (parser.is_header_done())
+    {
+        report_notice(*connection, parser.get(),
+                      wanted.purpose == probe_purpose::trial ? routing::notice_source::trial_probe
+                                                             : routing::notice_source::load_probe);
+    }
     probe_result out;
     if (error || !parser.is_done())
     {
@@ -181,6 +188,24 @@
     co_return out;
 }
 
+void backend_connection_pool::report_notice(const backend_connection& connection,
+                                            const http::response_header<>& response,
+                                            routing::notice_source source) const
+{
+    const std::string_view stated_id = header_value(response, profile_.server_id_header);
+    const bool is_of_other_server = response.result() == http::status::misdirected_request ||
+                                    (!stated_id.empty() && stated_id != connection.server.id);
+    if (!on_notice || is_of_other_server)
+    {
+        return;
+    }
+    const parsed_notice parsed = parse_notice(response, profile_);
+    if (parsed.notice.leaving || parsed.notice.retry_after || !parsed.ignored.empty())
+    {
+        on_notice(connection.server, parsed, source);
+    }
+}
+
 exchange_outcome backend_connection_pool::classify(const http_request& request,
                                                    const http_response& response) const
 {
@@ -222,6 +247,14 @@
         parser.skip(request.method() == http::verb::head);
         co_await http::async_read(connection->socket, connection->buffer, parser,
                                   redirect_error_to(error));
+        if (parser.is_header_done())
+        {
+            const std::string_view id = header_value(parser.get(), profile_.request_id_header);
+            const bool is_late = (!id.empty() && id != request_id) || !connection->socket.is_open();
+            report_notice(*connection, parser.get(),
+                          is_late ? routing::notice_source::late_response
+                                  : routing::notice_source::request);
+        }
         if (error || !parser.is_done())
         {
             out.outcome =
--- a/src/net/backend_connection_pool.hpp
+++ b/src/net/backend_connection_pool.hpp
@@ -5,6 +5,7 @@
 #include "net/deadline_timer.hpp"
 #include "net/http_profile.hpp"
 #include "net/message_rules.hpp"
+#include "net/notice_headers.hpp"
 #include "routing/backends.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -12,6 +13,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -30,6 +32,7 @@
 
     asio::ip::tcp::socket socket;
     deadline_timer timer;
+    routing::server_lifetime server;                      ///< At the other end.
     boost::beast::flat_buffer buffer{max_unparsed_bytes}; ///< Bytes that were read but not parsed.
     core::time_point last_response_at;                    ///< When the last response was complete.
     core::duration keep_alive_timeout{}; ///< Idle time after which the server closes it.
@@ -139,8 +142,17 @@
 
     backend_connection_pool_options options;
     backend_connection_pool_counters counters;
+    /// Called for each response with notice headers, whether somebody waits for it or not; may be
+    /// empty.
+    std::function<void(const routing::server_lifetime& server, const parsed_notice& notice,
+                       routing::notice_source source)>
+        on_notice;
 
 private:
+    /// Calls on_notice if the response has notice headers and no other server sent it.
+    void report_notice(const backend_connection& connection,
+                       const http::response_header<>& response,
+                       routing::notice_source source) const;
     /// Classifies a complete response.
     exchange_outcome classify(const http_request& request, const http_response& response) const;
 
--- a/src/net/backend_selection.cpp
+++ b/src/net/backend_selection.cpp
@@ -78,6 +78,10 @@
                                                             routing::backend_pointer server)
 {
     const core::time_point now = core::boot_clock_now();
+    if (routing::is_withheld(gateway.backends, *server, now))
+    {
+        co_return nullptr;
+    }
     if (server->reading && now - server->reading->received_at < max_reading_age)
     {
         if (auto idle_connection =
@@ -103,6 +107,11 @@
         {
             co_return nullptr;
         }
+        if (routing::is_withheld(gateway.backends, *server, core::boot_clock_now()))
+        {
+            routing::on_load_probe_abandoned(*server);
+            co_return nullptr;
+        }
         result = co_await send_load_probe(gateway, server, connection);
     }
     if (!result.answered)
@@ -195,6 +204,20 @@
     return list.size();
 }
 
+// Counts a server that responded, unless it is only ranked below another one.
+void count_if_unsuitable(routing::backend_set& set, const routing::backend& server,
+                         bool has_capacity, core::time_point now)
+{
+    if (const auto reason = routing::ineligibility(set, server, now))
+    {
+        routing::count_passed_over(set, *reason);
+    }
+    else if (!has_capacity)
+    {
+        routing::count_passed_over(set, routing::pass_over_reason::no_capacity);
+    }
+}
+
 // Selects the candidate with the lowest expected cost that has capacity and is still eligible.
 // Returns the connections of the others to the pool.
 backend_selection select_best(gateway& gateway, std::vector<connected_backend>& connected,
@@ -219,6 +242,7 @@
         }
         else
         {
+            count_if_unsuitable(gateway.backends, *candidate.server, has_capacity, now);
             gateway.backend_connections.put_back(*candidate.server, candidate.connection);
         }
     }
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -25,12 +25,33 @@
     return "/health";
 }
 
+void log_notice_changes(gateway& gateway, const std::vector<routing::notice_change>& changes)
+{
+    for (const routing::notice_change& change : changes)
+    {
+        boost::json::object fields = {{"server", change.server.id},
+                                      {"incarnation", change.server.incarnation},
+                                      {"notice", routing::to_string(change.kind)},
+                                      {"source", routing::to_string(change.source)},
+                                      {"age_ms", core::to_milliseconds(change.age)}};
+        if (change.ended)
+        {
+            fields["why"] = routing::to_string(*change.ended);
+        }
+        else
+        {
+            fields["for_ms"] = core::to_milliseconds(change.lifetime_left);
+        }
+        gateway.log.write("servers", change.ended ? "notice_ended" : "notice_began", fields);
+    }
+}
+
 // A suspect server gets requests again once it passes a probe. If its requests still fail although
 // its probes pass, it becomes suspect again after a few of them, for twice as long.
 asio::awaitable<void> probe_suspect(gateway& gateway, routing::backend_pointer server)
 {
     backend_connection_pointer connection = co_await gateway.backend_connections.connect(*server);
-    if (!connection)
+    if (!connection || routing::is_withheld(gateway.backends, *server, core::boot_clock_now()))
     {
         co_return;
     }
@@ -112,6 +133,12 @@
     accounts.random.seed(random());
     backends.options.own_name = options.vm;
     backends.options.data_centre = options.data_centre;
+    backend_connections.on_notice = [this](const routing::server_lifetime& server,
+                                           const parsed_notice& parsed,
+                                           routing::notice_source source)
+    {
+        record_server_notice(*this, server, parsed, source);
+    };
 }
 
 bool apply_configuration(gateway& gateway, std::shared_ptr<const config::configuration> config,
@@ -145,6 +172,9 @@
 {
     const auto known = gateway.backends.by_id.find(server.id);
     const bool changed = known == gateway.backends.by_id.end() || known->second->listed != server;
+    log_notice_changes(gateway,
+                       routing::end_earlier_lifetimes(gateway.backends.notices,
+                                                      {server.id, server.incarnation}, now));
     routing::apply_listing(gateway.backends, server, now);
     gateway.probe_budget.servers = gateway.backends.by_id.size();
     if (changed)
@@ -233,8 +263,26 @@
                             .source = granted->source};
 }
 
+void record_server_notice(gateway& gateway, const routing::server_lifetime& server,
+                          const parsed_notice& parsed, routing::notice_source source)
+{
+    for (const ignored_header& header : parsed.ignored)
+    {
+        gateway.log.write("servers", "notice_ignored",
+                          {{"server", server.id},
+                           {"incarnation", server.incarnation},
+                           {"source", routing::to_string(source)},
+                           {"header", header.name},
+                           {"value", header.value}});
+    }
+    log_notice_changes(gateway,
+                       routing::record_notice(gateway.backends.notices, server, parsed.notice,
+                                              source, core::boot_clock_now()));
+}
+
 void maintain(gateway& gateway, core::time_point now)
 {
+    log_notice_changes(gateway, routing::expire(gateway.backends.notices, now));
     for (routing::backend_pointer& server : routing::take_due_probes(gateway.backends, now))
     {
         if (limits::may_send_trial(gateway.probe_budget, now))
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -49,6 +49,8 @@
     /// Precondition: `io_context` outlives the gateway.
     gateway(asio::io_context& io_context, http_profile header_profile,
             gateway_options initial_options);
+    gateway(const gateway&) = delete;
+    gateway& operator=(const gateway&) = delete;
 
     asio::io_context& io;
     const http_profile profile;
@@ -96,8 +98,12 @@
 /// none.
 asio::awaitable<limits::grant> acquire_grant(gateway& gateway, std::string account);
 
-/// Starts the due trial probes of suspect servers, and closes stale connections to backend servers.
-/// To be called periodically.
+/// Records and logs what a response says of its server.
+void record_server_notice(gateway& gateway, const routing::server_lifetime& server,
+                          const parsed_notice& parsed, routing::notice_source source);
+
+/// Starts the due trial probes of suspect servers, ends the notices of servers whose time has
+/// passed, and closes stale connections to backend servers. To be called periodically.
 void maintain(gateway& gateway, core::time_point now);
 
 /// Returns the latency statistics of the route, creating them on the route's first request.
--- a/src/net/gateway_metrics.cpp
+++ b/src/net/gateway_metrics.cpp
@@ -39,6 +39,18 @@
     }
 }
 
+void print_passed_over(std::string& out, const routing::backend_set& set)
+{
+    out += "# HELP zinnia_servers_passed_over_total Servers left out of selections, by reason.\n"
+           "# TYPE zinnia_servers_passed_over_total counter\n";
+    for (std::size_t i = 0; i < set.passed_over.size(); ++i)
+    {
+        fmt::format_to(std::back_inserter(out),
+                       "zinnia_servers_passed_over_total{{reason=\"{}\"}} {}\n",
+                       to_string(static_cast<routing::pass_over_reason>(i)), set.passed_over.at(i));
+    }
+}
+
 } // namespace
 
 std::string print_metrics(const gateway& gateway, const daemon_metrics& daemon)
@@ -63,6 +75,7 @@
     print(out, "counter", "zinnia_unprobed_selections_total",
           "Selections without a probe, for lack of budget.", number(counters.unprobed_selections));
     print_probes(out, gateway.backend_connections.counters);
+    print_passed_over(out, gateway.backends);
     print(out, "counter", "zinnia_platform_calls_total", "Calls to the platform's store.",
           number(daemon.platform_calls));
     print(out, "counter", "zinnia_peer_bytes_received_total", "From other daemons.",
--- a/src/net/http_profile.hpp
+++ b/src/net/http_profile.hpp
@@ -32,6 +32,9 @@
     /// presence.
     std::string not_run_header = "X-Zinnia-Outcome";
     std::string not_run_value = "not-run";
+    std::string leaving_header = "X-Zinnia-Leaving"; ///< "1" if the server is about to end.
+    /// Seconds, fractions included, for which a server that responds with 503 wants nothing.
+    std::string retry_after_header = "Retry-After";
     routing::load_parser parse_load = routing::parse_named_load;
     /// Marks a response as the server's own; empty if servers do not mark their responses.
     std::string signature_header;
--- a/src/net/message_rules.cpp
+++ b/src/net/message_rules.cpp
@@ -167,8 +167,9 @@
 void remove_server_headers(http_response& response, const http_profile& profile)
 {
     remove_hop_by_hop(response.base());
-    for (const std::string* name : {&profile.load_header, &profile.warmup_left_header,
-                                    &profile.server_id_header, &profile.not_run_header})
+    for (const std::string* name :
+         {&profile.load_header, &profile.warmup_left_header, &profile.server_id_header,
+          &profile.not_run_header, &profile.leaving_header, &profile.retry_after_header})
     {
         response.erase(*name);
     }
--- a/src/net/message_rules.hpp
+++ b/src/net/message_rules.hpp
@@ -65,7 +65,7 @@
                                     const forwarding_info& info);
 
 /// Removes the hop-by-hop headers and those that a backend server sends to the daemon only, such as
-/// its load. Not thread safe.
+/// its load and how long it wants nothing. Not thread safe.
 void remove_server_headers(http_response& response, const http_profile& profile);
 
 /// Returns the response to a refused request. `request_id` may be empty. Thread safe.
