Use idle connections only for the server they were opened to

Idle connections are kept by server id. A server that starts again under its id, or moves to another address, got requests on connections to its predecessor while that still ran, and what the predecessor said of itself was held against the new one. take_idle compares incarnation and address.

Ruled out: closing them when the listing changes, because connections in use are put back later.

Test: server_notices.an_idle_connection_is_not_used_for_a_later_lifetime. It failed before the change: take_idle returned the connection of incarnation 1 for incarnation 2. It passes with it.

--- a/src/net/backend_connection_pool.cpp
+++ b/src/net/backend_connection_pool.cpp
@@ -113,7 +113,9 @@
             return nullptr;
         }
         connections.pop_back();
-        if (!expired && looks_usable(connection->socket))
+        const bool same_server = connection->server.incarnation == server.listed.incarnation &&
+                                 connection->address == server.listed.address;
+        if (!expired && same_server && looks_usable(connection->socket))
         {
             return connection;
         }
@@ -131,6 +133,7 @@
     }
     auto connection = std::make_shared<backend_connection>(io_);
     connection->server = {server.listed.id, server.listed.incarnation};
+    connection->address = server.listed.address;
     connection->timer.expires_after(options.connect_timeout);
     error_code error;
     co_await connection->socket.async_connect(*endpoint, redirect_error_to(error));
--- a/src/net/backend_connection_pool.hpp
+++ b/src/net/backend_connection_pool.hpp
@@ -33,6 +33,7 @@
     asio::ip::tcp::socket socket;
     deadline_timer timer;
     routing::server_lifetime server;                      ///< At the other end.
+    std::string address;                                  ///< Of the server.
     boost::beast::flat_buffer buffer{max_unparsed_bytes}; ///< Bytes that were read but not parsed.
     core::time_point last_response_at;                    ///< When the last response was complete.
     core::duration keep_alive_timeout{}; ///< Idle time after which the server closes it.
@@ -112,8 +113,8 @@
     /// Preconditions: `io` and `profile` outlive the pool.
     backend_connection_pool(asio::io_context& io, const http_profile& profile);
 
-    /// Returns an idle connection that the server has not closed and on which it has responded
-    /// since `answered_since`, or null.
+    /// Returns an idle connection to this lifetime of the server that the server has not closed and
+    /// on which it has responded since `answered_since`, or null.
     backend_connection_pointer take_idle(const routing::backend& server,
                                          core::time_point answered_since);
 
--- a/test/correctness/net/server_notices_test.cpp
+++ b/test/correctness/net/server_notices_test.cpp
@@ -177,5 +177,37 @@
     EXPECT_EQ(server.received(), "");
 }
 
+// Guards against a request to a replaced server on a connection that was opened to it: the new one
+// has the same id, at the same or another address.
+TEST(server_notices, an_idle_connection_is_not_used_for_a_later_lifetime)
+{
+    raw_server server("");
+    asio::io_context io;
+    const http_profile profile;
+    backend_connection_pool pool(io, profile);
+    routing::backend first{.listed = {.id = "a", .address = server.address(), .incarnation = 1},
+                           .state = routing::backend_state::serving};
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void>
+        {
+            for (int i = 0; i < 2; ++i)
+            {
+                backend_connection_pointer connection = co_await pool.connect(first);
+                connection->reusable = true;
+                connection->keep_alive_timeout = 60s;
+                connection->last_response_at = core::boot_clock_now();
+                pool.put_back(first, connection);
+            }
+        },
+        asio::detached);
+    io.run();
+    ASSERT_EQ(pool.idle_count(), 2U);
+    EXPECT_NE(pool.take_idle(first, {}), nullptr);
+    routing::backend second = first;
+    second.listed.incarnation = 2;
+    EXPECT_EQ(pool.take_idle(second, {}), nullptr);
+}
+
 } // namespace
 } // namespace zinniaferry::net
