Refuse at once while no server of a service takes requests

Such a request is refused at once with 503, also if the soonest pause ends before its deadline. A request that a server may have run keeps its outcome.

Ruled out: holding requests until a pause ends, as they would all reach the server together; a fixed spread (docs/design.md, section 4).

Test: server_notices.a_server_that_wants_nothing_gets_no_further_request. With the check in forward() taken out it fails with 16 selections instead of at most 4.

--- a/src/net/request_attempt.cpp
+++ b/src/net/request_attempt.cpp
@@ -16,6 +16,17 @@
     }
 }
 
+void record_reported_load(const request_attempt& attempt, const http_profile& profile,
+                          core::time_point now)
+{
+    const http_response& response = *attempt.result.response;
+    if (const auto load =
+            profile.parse_load(header_value(response.base(), profile.load_header), now))
+    {
+        routing::on_load_reading(*attempt.target.server, *load, core::duration::zero());
+    }
+}
+
 request::refusal_reason refusal_reason_of(exchange_outcome outcome)
 {
     switch (outcome)
@@ -29,6 +40,21 @@
     }
 }
 
+void cancel_attempt(request_attempt& attempt)
+{
+    if (attempt.settled)
+    {
+        return;
+    }
+    attempt.settled = true;
+    boost::system::error_code ignored;
+    attempt.target.connection->socket.close(ignored);
+    if (attempt.finished)
+    {
+        routing::on_released(*attempt.target.server);
+    }
+}
+
 boost::json::object describe_attempt(const request_attempt& attempt, core::time_point arrived,
                                      core::duration latency)
 {
--- a/src/net/request_handler.cpp
+++ b/src/net/request_handler.cpp
@@ -165,9 +165,12 @@
             {
                 continue;
             }
-            if (open_attempt_count() == 0 && core::boot_clock_now() >= in_time_selection_end())
+            const core::time_point selected_at = core::boot_clock_now();
+            const bool should_give_up =
+                selected_at >= in_time_selection_end() || service_pause(selected_at);
+            if (open_attempt_count() == 0 && should_give_up)
             {
-                co_return give_up(core::boot_clock_now());
+                co_return give_up(selected_at);
             }
             co_await wait_until(std::min(deadline_, core::boot_clock_now() + selection_interval));
             continue;
@@ -196,6 +199,12 @@
                                                             : routing::queueing::late;
 }
 
+// How long the servers that the request has not been sent to take nothing; nothing if one may.
+std::optional<core::duration> request_handler::service_pause(core::time_point now) const
+{
+    return routing::service_pause(gateway_.backends, service_, tried_servers_, now);
+}
+
 // Time that the request may queue at a server and still meet the route's latency objective.
 core::duration request_handler::max_queue_time() const
 {
@@ -362,11 +371,7 @@
 {
     routing::backend& server = *attempt.target.server;
     const core::time_point now = core::boot_clock_now();
-    if (const auto load = gateway_.profile.parse_load(
-            header_value(attempt.result.response->base(), gateway_.profile.load_header), now))
-    {
-        routing::on_load_reading(server, *load, core::duration::zero());
-    }
+    record_reported_load(attempt, gateway_.profile, now);
     gateway_.backend_connections.put_back(server, attempt.target.connection);
     if (attempt.result.response->result_int() < 500)
     {
@@ -400,6 +405,11 @@
     if (not_run)
     {
         limits::refund(gateway_.accounts, account_, now);
+        if (const auto pause = service_pause(now))
+        {
+            return refuse(
+                {refusal_reason::no_server, routing::spread_retry_after(*pause, gateway_.random)});
+        }
         const bool is_late = now >= deadline_;
         const auto reason = servers_full_ ? refusal_reason::overloaded
                             : is_late     ? refusal_reason::expired
@@ -428,22 +438,11 @@
     wake_timer_.cancel();
 }
 
-// Closing the connection tells the server to stop its work, and prevents a late response from being
-// taken for the response to a later request on a reused connection.
 void request_handler::cancel_attempts()
 {
     for (const auto& attempt : attempts_)
     {
-        if (!attempt->settled)
-        {
-            attempt->settled = true;
-            boost::system::error_code ignored;
-            attempt->target.connection->socket.close(ignored);
-            if (attempt->finished)
-            {
-                routing::on_released(*attempt->target.server);
-            }
-        }
+        cancel_attempt(*attempt);
     }
 }
 
--- a/src/net/request_handler.hpp
+++ b/src/net/request_handler.hpp
@@ -56,6 +56,7 @@
     core::time_point in_time_selection_end() const;
     routing::queueing accepted_queueing() const;
     core::duration max_queue_time() const;
+    std::optional<core::duration> service_pause(core::time_point now) const;
     std::optional<core::time_point> hedge_time() const;
     bool may_send_now(core::time_point now) const;
     asio::awaitable<void> wait_until(core::time_point at);
--- a/test/correctness/net/server_notices_test.cpp
+++ b/test/correctness/net/server_notices_test.cpp
@@ -48,6 +48,14 @@
     return out;
 }
 
+std::uint64_t selection_count(front_end& daemon)
+{
+    std::uint64_t out = 0;
+    daemon.run_on_io_thread([&](caller_sessions& sessions, asio::ip::tcp::acceptor&)
+                            { out = sessions.gateway.counters.selections; });
+    return out;
+}
+
 // Guards against further requests to a server that leaves, and against its header at the caller.
 TEST(server_notices, a_leaving_server_gets_no_further_request)
 {
@@ -64,6 +72,27 @@
     EXPECT_EQ(beliefs_of(daemon).leaving->source, routing::notice_source::request);
 }
 
+// Guards against requests that are held or sent while the only server wants nothing, and against
+// telling callers an earlier time than the server's.
+TEST(server_notices, a_server_that_wants_nothing_gets_no_further_request)
+{
+    raw_server server(not_run_response);
+    front_end daemon(one_server_configuration(server.address()));
+    for (int i = 0; i < 3; ++i)
+    {
+        const std::string response = daemon.exchange(request);
+        EXPECT_THAT(response, StartsWith("HTTP/1.1 503 "));
+        EXPECT_THAT(response, HasSubstr("\"outcome\":\"not_run\""));
+        constexpr std::string_view name = "\r\nRetry-After: ";
+        const std::size_t at = response.find(name);
+        ASSERT_NE(at, std::string::npos);
+        EXPECT_GT(std::stod(response.substr(at + name.size())), 20.0);
+    }
+    // The first request may select again after the server has refused it; the others select once.
+    EXPECT_LE(selection_count(daemon), 4U);
+    EXPECT_EQ(count(server.received(), "GET /open"), 1U);
+}
+
 // Guards against a promise that a request has not run, which its server did not give.
 TEST(server_notices, a_request_turned_away_without_a_statement_counts_as_run)
 {
