Test a notice that arrives while a trial probe connects

A probe connects for up to 150 ms, and a notice may arrive meanwhile. The test fails with the health request that it must not send when the check after the connection in probe_suspect is taken out, and passes with it.

--- a/test/correctness/net/server_notices_test.cpp
+++ b/test/correctness/net/server_notices_test.cpp
@@ -186,6 +186,24 @@
     EXPECT_THAT(log, testing::ContainsRegex(R"("age_ms":2E3,"why":"time_passed")"));
 }
 
+// Guards against a trial probe of a server whose notice arrives while the probe connects.
+TEST(server_notices, a_notice_while_a_trial_probe_connects_counts)
+{
+    test::canned_server server({{"/health", leaving_response}}, 1);
+    asio::io_context io;
+    gateway daemon(io, {}, {.vm = "vm-1", .log = {.enabled = false}});
+    const core::time_point now = core::boot_clock_now();
+    apply_server_listing(daemon, {.id = "a", .service = "s", .address = server.address()}, now);
+    routing::on_sent(*daemon.backends.by_id.at("a"));
+    routing::on_failed(*daemon.backends.by_id.at("a"), routing::failure_kind::unreachable, now);
+    maintain(daemon, now + 1s);
+    record_server_notice(daemon, {"a", 0}, {.notice = {.leaving = true}},
+                         routing::notice_source::late_response);
+    io.run();
+    EXPECT_EQ(daemon.backend_connections.counters.connections, 1U);
+    EXPECT_EQ(server.requests(), "");
+}
+
 // Guards against sending a request to a server that says during its selection that it leaves.
 TEST(server_notices, a_notice_during_a_selection_counts)
 {
