Explain a request's outcome by the logs of all daemons

What was weighed: a separate program (another name to install, and the same options as zinniactl), and config::read_text_file with a reader of its own (it takes its limit as a parameter).

--- a/apps/zinniactl.cpp
+++ b/apps/zinniactl.cpp
@@ -1,5 +1,5 @@
-// Command-line tool for operators: checks and compares configurations, and reads the state of
-// daemons.
+// Command-line tool for operators: checks and compares configurations, reads the state of daemons,
+// and explains the outcome of a request by their logs.
 #include "net/operator_commands.hpp"
 
 #include <cxxopts.hpp>
@@ -14,18 +14,21 @@
 {
 
 constexpr const char* usage = "check [--settings] FILE | diff OLD NEW | state ADDRESS | "
-                              "fleet ADDRESS...";
+                              "fleet ADDRESS... | explain --id ID FILE...";
 constexpr const char* credential_environment_variable = "ZINNIA_ADMIN_CREDENTIAL";
 
 cxxopts::Options make_options()
 {
     cxxopts::Options options("zinniactl",
-                             "Checks configurations and reads the state of daemons.\n"
-                             "Exit codes: 0 for success; 1 for a difference or a daemon that "
-                             "does not answer; 2 for invalid input.\n");
+                             "Checks configurations, reads the state of daemons and explains the "
+                             "outcome of a request by their logs.\n"
+                             "Exit codes: 0 for success; 1 for a difference, a daemon that does "
+                             "not answer or a request that is not in the logs; 2 for invalid "
+                             "input.\n");
     options.positional_help(usage);
     options.add_options()("json", "print JSON")(
         "settings", "check the settings of a daemon instead of a configuration")(
+        "id", "id of the request to explain", cxxopts::value<std::string>()->default_value(""))(
         "credential",
         std::string("credential of the admin listeners; better set in ") +
             credential_environment_variable +
@@ -54,7 +57,8 @@
 
 // Runs the command. Returns nothing if the arguments are not a command with its operands.
 std::optional<net::command_result> run(const std::vector<std::string>& arguments,
-                                       net::document_kind kind, const net::command_options& options)
+                                       const std::string& request_id, net::document_kind kind,
+                                       const net::command_options& options)
 {
     const std::string command = arguments.empty() ? std::string() : arguments.front();
     if (command == "check" && arguments.size() == 2)
@@ -73,6 +77,10 @@
     {
         return net::run_fleet({arguments.begin() + 1, arguments.end()}, options);
     }
+    if (command == "explain" && arguments.size() >= 2 && !request_id.empty())
+    {
+        return net::run_explain(request_id, {arguments.begin() + 1, arguments.end()}, options);
+    }
     return std::nullopt;
 }
 
@@ -94,7 +102,8 @@
                                    : std::vector<std::string>();
         const auto kind = parsed.count("settings") > 0 ? net::document_kind::settings
                                                        : net::document_kind::configuration;
-        const auto result = run(arguments, kind, read_options(parsed));
+        const auto result =
+            run(arguments, parsed["id"].as<std::string>(), kind, read_options(parsed));
         if (!result)
         {
             std::fprintf(stderr, "zinniactl: expected %s\n", usage);
--- a/src/config/text_file.cpp
+++ b/src/config/text_file.cpp
@@ -11,16 +11,16 @@
 namespace
 {
 
-boost::leaf::error_id too_large(const std::string& file)
+boost::leaf::error_id too_large(const std::string& file, std::size_t max_bytes)
 {
-    const std::string limit = std::to_string(max_document_bytes) + " bytes";
+    const std::string limit = std::to_string(max_bytes) + " bytes";
     return boost::leaf::new_error(core::document_error{
         .file = file, .path = "$", .value = "more than " + limit, .expected = "at most " + limit});
 }
 
 } // namespace
 
-core::result<std::string> read_text_file(const std::string& file)
+core::result<std::string> read_text_file(const std::string& file, std::size_t max_bytes)
 {
     const auto close = [](std::FILE* stream)
     {
@@ -37,9 +37,9 @@
     while (const std::size_t read = std::fread(chunk.data(), 1, chunk.size(), input.get()))
     {
         out.append(chunk.data(), read);
-        if (out.size() > max_document_bytes)
+        if (out.size() > max_bytes)
         {
-            return too_large(file);
+            return too_large(file, max_bytes);
         }
     }
     if (std::ferror(input.get()) != 0)
--- a/src/net/operator_commands.cpp
+++ b/src/net/operator_commands.cpp
@@ -4,6 +4,7 @@
 #include "config/diff.hpp"
 #include "config/printer.hpp"
 #include "config/reader.hpp"
+#include "explain/printer.hpp"
 #include "net/fleet_report.hpp"
 #include "net/http_get.hpp"
 
@@ -240,4 +241,20 @@
                 options.as_json ? json::serialize(to_json(reports)) + "\n" : to_table(reports)};
 }
 
+command_result run_explain(const std::string& request_id, const std::vector<std::string>& files,
+                           const command_options& options)
+{
+    return run(options,
+               [&]() -> core::result<command_result>
+               {
+                   BOOST_LEAF_AUTO(log, explain::read_log_files(files, request_id));
+                   const explain::request_account account =
+                       explain::explain_request(log, request_id);
+                   return command_result{
+                       .exit_code = account.requests.empty() ? exit_difference : exit_ok,
+                       .output = options.as_json ? json::serialize(explain::to_json(account)) + "\n"
+                                                 : explain::to_text(account)};
+               });
+}
+
 } // namespace zinniaferry::net
--- a/src/net/operator_commands.hpp
+++ b/src/net/operator_commands.hpp
@@ -11,7 +11,8 @@
 
 /// Exit codes of `zinniactl`.
 inline constexpr int exit_ok = 0;
-inline constexpr int exit_difference = 1; ///< A difference was found, or a daemon did not answer.
+/// A difference was found, a daemon did not answer, or a request is not in the logs.
+inline constexpr int exit_difference = 1;
 inline constexpr int exit_invalid_input = 2; ///< An invalid file, address or command line.
 
 /// Output and exit code of a command.
@@ -52,4 +53,10 @@
 /// difference otherwise, invalid input for a malformed address. Thread safe.
 command_result run_fleet(const std::vector<std::string>& addresses, const command_options& options);
 
+/// Explains the outcome of the request `request_id` by the event logs in `files`. Exit codes: ok,
+/// difference when the request is not in them, invalid input for a file that cannot be read. Thread
+/// safe.
+command_result run_explain(const std::string& request_id, const std::vector<std::string>& files,
+                           const command_options& options);
+
 } // namespace zinniaferry::net
--- a/test/correctness/net/operator_commands_test.cpp
+++ b/test/correctness/net/operator_commands_test.cpp
@@ -6,6 +6,8 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <fstream>
+
 namespace zinniaferry::net
 {
 namespace
@@ -75,5 +77,26 @@
     EXPECT_THAT(behind.output, testing::ContainsRegex(second.address() + " +8 +3 +42 +5\n"));
 }
 
+// Guards against an unknown id, or a file that cannot be read, that ends with exit code 0.
+TEST(operator_commands, explain_exits_with_the_documented_codes)
+{
+    const std::string file = testing::TempDir() + "explain.log";
+    std::ofstream(file) << R"({"time":1,"vm":"v","part":"requests","kind":"answered",)"
+                        << R"("request":"r","outcome":"answered","status":200,"ms":1})"
+                        << "\n";
+    EXPECT_EQ(run_explain("r", {file}, {}).exit_code, exit_ok);
+    EXPECT_THAT(run_explain("r", {file}, {.as_json = true}).output,
+                HasSubstr("\"cause\":\"answered\""));
+    const command_result unknown = run_explain("s", {file}, {});
+    EXPECT_EQ(unknown.exit_code, exit_difference);
+    EXPECT_THAT(unknown.output, HasSubstr("request s is not in these logs"));
+    for (const std::string& unreadable : {std::string("no-such-file"), testing::TempDir()})
+    {
+        const command_result failed = run_explain("r", {file, unreadable}, {});
+        EXPECT_EQ(failed.exit_code, exit_invalid_input);
+        EXPECT_THAT(failed.error, HasSubstr(unreadable));
+    }
+}
+
 } // namespace
 } // namespace zinniaferry::net
