--- a/src/explain/log_reader.cpp
+++ b/src/explain/log_reader.cpp
@@ -18,8 +18,9 @@
 
 /// The text with which event_log begins each line. Within a JSON text its quotes are escaped.
 constexpr std::string_view event_start = "{\"time\":";
-/// Times and durations beyond it cannot be represented.
-constexpr double max_seconds = 9e9;
+/// Below these bounds, sums and differences of a time and a few durations can be represented.
+constexpr double max_time_s = 8e9;
+constexpr double max_duration_s = 1e8;
 /// Counts beyond it are not represented exactly.
 constexpr double max_count = 9e15;
 
@@ -53,7 +54,7 @@
     log_line out{.vm = text_field(fields, "vm"),
                  .part = text_field(fields, "part"),
                  .kind = text_field(fields, "kind")};
-    if (!time || std::abs(*time) >= max_seconds || out.vm.empty() || out.part.empty() ||
+    if (!time || *time < 0.0 || *time >= max_time_s || out.vm.empty() || out.part.empty() ||
         out.kind.empty())
     {
         return std::nullopt;
@@ -177,7 +178,7 @@
 std::optional<core::duration> duration_field(const json::object& fields, std::string_view name)
 {
     const std::optional<double> milliseconds = number_field(fields, name);
-    if (!milliseconds || std::abs(*milliseconds / 1e3) >= max_seconds)
+    if (!milliseconds || std::abs(*milliseconds / 1e3) >= max_duration_s)
     {
         return std::nullopt;
     }
--- a/src/explain/printer.cpp
+++ b/src/explain/printer.cpp
@@ -3,6 +3,9 @@
 #include <boost/json/serialize.hpp>
 #include <spdlog/fmt/fmt.h>
 
+#include <algorithm>
+#include <array>
+
 namespace zinniaferry::explain
 {
 
@@ -16,16 +19,42 @@
     return core::to_milliseconds(line.time - facts.arrived_at);
 }
 
-// Returns the fields that are particular to the line's kind.
-std::string print_fields(const log_line& line)
+// Returns whether a field is printed apart from the others.
+bool is_printed_apart(std::string_view name)
+{
+    constexpr std::array<std::string_view, 6> names = {"time", "vm",      "part",
+                                                       "kind", "request", "attempts"};
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+std::string print_fields(const json::object& fields)
+{
+    std::string out;
+    for (const auto& [key, value] : fields)
+    {
+        const std::string_view name(key.data(), key.size());
+        if (!is_printed_apart(name))
+        {
+            out += value.is_double() ? fmt::format(" {}={:.6g}", name, value.get_double())
+                                     : fmt::format(" {}={}", name, json::serialize(value));
+        }
+    }
+    return out;
+}
+
+std::string print_attempts(const request_facts& facts)
 {
     std::string out;
-    for (const auto& [name, value] : line.fields)
+    const json::value* attempts = facts.ended->fields.if_contains("attempts");
+    if (attempts == nullptr || !attempts->is_array())
+    {
+        return out;
+    }
+    for (const json::value& attempt : attempts->get_array())
     {
-        if (name != "time" && name != "vm" && name != "part" && name != "kind")
+        if (const json::object* fields = attempt.if_object())
         {
-            out += fmt::format(" {}={}", std::string_view(name.data(), name.size()),
-                               json::serialize(value));
+            out += "attempt:" + print_fields(*fields) + "\n";
         }
     }
     return out;
@@ -42,9 +71,9 @@
     for (const log_line* line : facts.evidence)
     {
         out += fmt::format("{:>12.1f} {} {} {}{}\n", offset_ms(facts, *line), line->vm, line->part,
-                           line->kind, print_fields(*line));
+                           line->kind, print_fields(line->fields));
     }
-    return out;
+    return out + print_attempts(facts);
 }
 
 json::object describe_request(const request_facts& facts)
--- a/src/explain/request_facts.cpp
+++ b/src/explain/request_facts.cpp
@@ -1,6 +1,7 @@
 #include "explain/request_facts.hpp"
 
 #include <algorithm>
+#include <array>
 #include <map>
 
 namespace zinniaferry::explain
@@ -11,10 +12,10 @@
 
 namespace json = boost::json;
 
-/// Lines about servers before the request and after its end that may concern it. A server's state
+/// Lines before the request and after its end that may concern it. A server's state
 /// is published seconds late.
-constexpr core::duration server_lines_before = std::chrono::seconds(5);
-constexpr core::duration server_lines_after = std::chrono::seconds(3);
+constexpr core::duration lines_before = std::chrono::seconds(5);
+constexpr core::duration lines_after = std::chrono::seconds(3);
 
 std::string server_of(const log_line& line)
 {
@@ -222,11 +223,11 @@
     std::map<std::string, const log_line*> failed;
     for (const log_line& line : log.lines)
     {
-        if (line.time < sent_at - server_lines_before || server_of(line) != attempt.server)
+        if (line.time < sent_at - lines_before || server_of(line) != attempt.server)
         {
             continue;
         }
-        if (line.time > facts.ended->time + server_lines_after)
+        if (line.time > facts.ended->time + lines_after)
         {
             break;
         }
@@ -289,7 +290,7 @@
     for (const log_line& line : log.lines)
     {
         const bool is_recent =
-            line.time >= facts.ended->time - server_lines_before && line.time <= facts.ended->time;
+            line.time >= facts.ended->time - lines_before && line.time <= facts.ended->time;
         if (!is_recent || line.vm != facts.ended->vm || line.part != "servers")
         {
             continue;
@@ -318,7 +319,7 @@
         {
             last_before = &line;
         }
-        else if (line.time <= facts.ended->time + server_lines_after)
+        else if (line.time <= facts.ended->time + lines_after)
         {
             out.push_back(&line);
         }
@@ -328,6 +329,31 @@
     out.push_back(attempt.failed);
 }
 
+// Adds the VM's last line of each kind about a hub or the platform from shortly before the request
+// ended.
+void add_recent_links(std::vector<const log_line*>& out, const request_facts& facts,
+                      const log_lines& log)
+{
+    constexpr std::array<std::string_view, 6> kinds = {
+        "hub_chosen", "hub_left", "updates_late", "updates_in_time", "lost", "regained"};
+    std::map<std::pair<std::string, std::string>, const log_line*> last;
+    for (const log_line& line : log.lines)
+    {
+        const bool is_recent =
+            line.time >= facts.arrived_at - lines_before && line.time <= facts.ended->time;
+        const bool is_of_link = line.part == "peers" || is_platform_part(line);
+        if (line.vm == facts.ended->vm && is_recent && is_of_link &&
+            std::find(kinds.begin(), kinds.end(), line.kind) != kinds.end())
+        {
+            last[{line.kind, text_field(line.fields, "address")}] = &line;
+        }
+    }
+    for (const auto& [key, line] : last)
+    {
+        out.push_back(line);
+    }
+}
+
 void collect_evidence(request_facts& facts, const log_lines& log)
 {
     std::vector<const log_line*> out = {
@@ -337,6 +363,7 @@
     {
         add_server_lines(out, attempt, facts, log);
     }
+    add_recent_links(out, facts, log);
     if (facts.outcome == "no_server" || facts.outcome == "overloaded")
     {
         out.insert(out.end(), facts.unavailable.begin(), facts.unavailable.end());
--- a/test/correctness/explain/explain_test.cpp
+++ b/test/correctness/explain/explain_test.cpp
@@ -219,6 +219,9 @@
     EXPECT_EQ(cause_of({ended("caller_gone", 0)}).name, "caller_gone");
     EXPECT_EQ(cause_of({ended("body_too_large", 413)}).name, "request_invalid");
     EXPECT_EQ(cause_of({ended("a_later_reason", 503)}).name, "unknown_outcome");
+    EXPECT_EQ(cause_of({request(10, "vm-1", "expired", R"("status":503,"ms":8e12)")}).text,
+              "the deadline passed 0.0 ms after the arrival, before the request was sent")
+        << "a duration that is out of range";
 }
 
 // Guards against lines that are lost, or joined wrongly, when files are cut within a line, in
@@ -237,14 +240,17 @@
                  chosen + "\n" + refused.substr(0, refused.size() - 1),
              "r-1", log);
     EXPECT_EQ(log.unread_lines, 4U);
-    read_log(R"({"time":1e300,"vm":"v","part":"p","kind":"k"})"
+    // Invalid times and names.
+    read_log(R"({"time":-1,"vm":"v","part":"p","kind":"k"})"
+             "\n"
+             R"({"time":1e300,"vm":"v","part":"p","kind":"k"})"
              "\n"
              R"({"time":{"time":1},"vm":"v"})"
              "\n"
              R"({"time":1,"vm":"","part":"p","kind":"k"})"
              "\n",
              "r-1", log);
-    EXPECT_EQ(log.unread_lines, 7U);
+    EXPECT_EQ(log.unread_lines, 8U);
     read_log(refused + chosen, "r-1", log);
     sort_lines(log);
     ASSERT_EQ(log.lines.size(), 2U) << "repeated lines count once";
@@ -282,18 +288,21 @@
     const log_lines log =
         read({refused, event(9.5, "vm-1", "peers", "hub_chosen", R"("address":"none")"),
               event(9, "vm-1", "configuration", "in_force", R"("version":7)"), "foreign",
+              event(9.2, "vm-1", "peers", "hub_left", R"("address":"10.0.0.1:1")"),
+              event(9.2, "vm-2", "peers", "hub_left", R"("address":"10.0.0.1:1")"),
               event(11, "vm-1", "log", "left_out", R"("of":"not_answered","lines":12)")});
     const request_account account = explain_request(log, "r-1");
     EXPECT_THAT(to_text(account),
                 testing::ContainsRegex("cause: rate_without_hub: (.|\n)*\n *-999.0 vm-1 "
-                                       "configuration in_force version=7\n *-499.0 vm-1 peers "
+                                       "configuration in_force version=7\n *-799.0 vm-1 peers "
+                                       "hub_left address=\"10.0.0.1:1\"\n *-499.0 vm-1 peers "
                                        "hub_chosen address=\"none\"\n *1.0 vm-1 requests "));
     EXPECT_THAT(to_text(account), HasSubstr("lines not read: 1\n"));
     const boost::json::object json = to_json(account);
     EXPECT_TRUE(json.at("found").as_bool());
     const boost::json::object& first = json.at("requests").at(0).as_object();
     EXPECT_EQ(first.at("cause").as_string(), "rate_without_hub");
-    EXPECT_EQ(first.at("evidence").as_array().size(), 3U);
+    EXPECT_EQ(first.at("evidence").as_array().size(), 4U);
     EXPECT_EQ(json.at("unread_lines").to_number<int>(), 1);
     const request_account unknown = explain_request(log, "r-9");
     EXPECT_FALSE(to_json(unknown).at("found").as_bool());
--- a/tools/fleet_common.sh
+++ b/tools/fleet_common.sh
@@ -44,7 +44,7 @@
 {"vm":"vm-$((i + 1))", "data_centre":"$centre", "region":"$region",
  "listen":"$ip:$((base_port + 10 + i))", "admin_listen":"$ip:$((base_port + 30 + i))", "peer_listen":"$ip:$((base_port + 50 + i))",
  "platform":"$ip:$base_port", "seeds":["$ip:$((base_port + 50))", "$ip:$((base_port + 51))", "$ip:$((base_port + 52))"],
- "admin_credential":"$admin_credential", "log_format":"text", "stop_grace_ms":3000}
+ "admin_credential":"$admin_credential", "log_format":"${FLEET_LOG_FORMAT:-text}", "stop_grace_ms":3000}
 SETTINGS
     done
 }
--- a/tools/run_fleet.sh
+++ b/tools/run_fleet.sh
@@ -9,6 +9,7 @@
 #   FLEET_PORT     first port (21000): platform +0, control ports of the services +1.., daemons +10..,
 #                  their admin listeners +30.., their peer listeners +50.., backend servers +100..
 #   FLEET_FOLDER   folder for settings and logs (a new temporary one, removed at the end)
+#   FLEET_LOG_FORMAT   text (default) or json, which zinniactl explain reads
 #   FLEET_SERVICE_MS, FLEET_COLD_MS   service time (4 ms), time for which a started server is cold (500 ms)
 set -euo pipefail
 
