Explain a caller that left without a claim that nothing was sent

The log line of a request whose caller disconnected lacks its cancelled attempts, because the handler settles them before it writes the line. The account said that nothing was sent; it says that the line names no attempt.

--- a/src/explain/explanations.cpp
+++ b/src/explain/explanations.cpp
@@ -53,7 +53,7 @@
 std::string describe_deciding(const request_facts& facts)
 {
     const attempt_facts* attempt = deciding_attempt(facts);
-    return attempt == nullptr ? "nothing was sent" : describe(*attempt);
+    return attempt == nullptr ? "its line names no attempt" : describe(*attempt);
 }
 
 std::string describe_reading(const attempt_facts& attempt)
--- a/test/correctness/explain/explain_test.cpp
+++ b/test/correctness/explain/explain_test.cpp
@@ -217,6 +217,9 @@
     EXPECT_EQ(cause_of({ended("stopping", 503)}).name, "daemon_stopping");
     EXPECT_EQ(cause_of({ended("expired", 503)}).name, "expired");
     EXPECT_EQ(cause_of({ended("caller_gone", 0)}).name, "caller_gone");
+    const cause gone = cause_of({request(10, "vm-1", "caller_gone", R"("ms":50,"attempts":[])")});
+    EXPECT_THAT(gone.text, HasSubstr("50.0 ms after the arrival; its line names no attempt"))
+        << "cancelled attempts may be missing";
     EXPECT_EQ(cause_of({ended("body_too_large", 413)}).name, "request_invalid");
     EXPECT_EQ(cause_of({ended("a_later_reason", 503)}).name, "unknown_outcome");
     EXPECT_EQ(cause_of({request(10, "vm-1", "expired", R"("status":503,"ms":8e12)")}).text,
