Check configurations in force by a model of the fleet

The model runs the real replicas, choice of hubs, registries, account limits, retry budgets, routing and request progress of a fleet in virtual time, and checks what callers, servers and the store see. First promises: a configuration is in force in time and never reverts (CONFIG), proper requests are not refused as unknown (DENIED), and no request goes where no version allows it (ROUTE).

Ruled out: real processes, whose timing differs in each run; and checks on the daemons' own state, which would repeat their errors.

--- /dev/null
+++ b/src/model/hub_links.cpp
@@ -0,0 +1,483 @@
+#include "model/hub_links.hpp"
+
+#include <algorithm>
+
+namespace zinniaferry::model
+{
+
+namespace
+{
+
+constexpr core::duration update_interval = std::chrono::milliseconds(400);
+constexpr core::duration report_interval = std::chrono::seconds(1);
+constexpr core::duration hub_check_interval = std::chrono::milliseconds(200);
+constexpr core::duration fast_hub_check_interval = std::chrono::milliseconds(50);
+constexpr core::duration connect_timeout = std::chrono::milliseconds(400);
+constexpr core::duration grant_timeout = std::chrono::milliseconds(20);
+/// A grant that arrives later is void.
+constexpr core::duration late_grant_lifetime = std::chrono::seconds(1);
+constexpr std::size_t min_assumed_members = 20;
+constexpr std::size_t control_bytes = 60; ///< Of a SYN, FIN or RST packet.
+
+process& process_of(world& world, std::size_t daemon)
+{
+    return *world.daemons[daemon].running;
+}
+
+std::optional<std::size_t> find_daemon(const world& world, const std::string& address)
+{
+    const auto found =
+        std::find_if(world.daemons.begin(), world.daemons.end(),
+                     [&](const daemon& entry) { return entry.identity.address == address; });
+    if (found == world.daemons.end())
+    {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(found - world.daemons.begin());
+}
+
+// Combines the reports of the hubs with the daemon's own registry, as net::hub_links does.
+void apply_fleet_view(world& world, std::size_t daemon)
+{
+    process& process = process_of(world, daemon);
+    const core::time_point now = world.queue.now;
+    const fleet::fleet_message own = fleet::make_fleet_message(process.registry, now);
+    fleet::record_members(process.member_cache, own.members, now);
+    std::size_t known = own.members_known;
+    bool all_settled = own.settled;
+    bool any_settled = own.settled;
+    for (const auto& [address, connection] : process.hub_connections)
+    {
+        const fleet::fleet_message& last = connection->last_fleet;
+        const bool has_reported = last.members_known > 0;
+        known = std::max<std::size_t>(known, last.members_known);
+        all_settled = all_settled && (!has_reported || last.settled);
+        any_settled = any_settled || (has_reported && last.settled);
+        fleet::record_members(process.member_cache, connection->members, now);
+    }
+    const bool own_primary = process.primary_hub == process.hubs.own_address;
+    const std::size_t members_known = all_settled ? known : std::max(known, min_assumed_members);
+    net::gateway& gateway = *process.gateway;
+    limits::set_fleet_size(
+        gateway.accounts,
+        {.primary_members = fleet::count_primary_members(process.registry) + (own_primary ? 1 : 0),
+         .members_known = members_known,
+         .is_size_known = any_settled},
+        now);
+    limits::set_standalone(gateway.accounts, !process.primary_hub.has_value(), now);
+    gateway.retry_budget.members = members_known;
+    gateway.backends.members = fleet::recent_members(process.member_cache, now);
+    gateway.backends.are_members_known = any_settled;
+}
+
+using message_handler = void (*)(world&, const hub_connection_pointer&, const fleet::hub_message&);
+
+std::size_t frame_bytes(const fleet::hub_message& message)
+{
+    return fleet::encode_frame(message).size();
+}
+
+void send_to_subscriber(world& world, const hub_connection_pointer& connection,
+                        const fleet::hub_message& message, message_handler handle)
+{
+    send_to_daemon(world, connection->hub, connection->subscriber, frame_bytes(message),
+                   [&world, connection, message, handle]
+                   {
+                       if (connection->open_at_subscriber)
+                       {
+                           handle(world, connection, message);
+                       }
+                   });
+}
+
+void send_to_hub(world& world, const hub_connection_pointer& connection,
+                 const fleet::hub_message& message, message_handler handle)
+{
+    send_to_daemon(world, connection->subscriber, connection->hub, frame_bytes(message),
+                   [&world, connection, message, handle]
+                   {
+                       if (connection->open_at_hub)
+                       {
+                           handle(world, connection, message);
+                       }
+                   });
+}
+
+void handle_update(world& world, const hub_connection_pointer& connection,
+                   const fleet::hub_message& message)
+{
+    const auto& update = std::get<fleet::update_message>(message);
+    process& process = process_of(world, connection->subscriber);
+    const core::time_point now = world.queue.now;
+    fleet::on_update(process.hubs, world.daemons[connection->hub].identity.address, update.age,
+                     now);
+    process.received_update = true;
+    const auto changes =
+        update.complete
+            ? fleet::apply_snapshot(process.replica, update.changes, update.revision, {}, now)
+            : fleet::apply_changes(process.replica, update.changes, update.revision);
+    process.replica.current_as_of = std::max(process.replica.current_as_of, now - update.age);
+    apply_changes(world, connection->subscriber, changes);
+}
+
+void handle_fleet(world& world, const hub_connection_pointer& connection,
+                  const fleet::hub_message& message)
+{
+    connection->last_fleet = std::get<fleet::fleet_message>(message);
+    if (!connection->last_fleet.members.empty())
+    {
+        connection->members = connection->last_fleet.members;
+        fleet::set_members(process_of(world, connection->subscriber).hubs, connection->members);
+    }
+    apply_fleet_view(world, connection->subscriber);
+}
+
+void handle_grant(world& world, const hub_connection_pointer& connection,
+                  const fleet::hub_message& message)
+{
+    const auto& answer = std::get<fleet::grant_message>(message);
+    process& process = process_of(world, connection->subscriber);
+    const auto found = process.pending_grants.find(answer.number);
+    if (found == process.pending_grants.end())
+    {
+        return;
+    }
+    pending_grant pending = std::move(found->second);
+    process.pending_grants.erase(found);
+    if (!pending.on_answer)
+    {
+        limits::add_granted(process.gateway->accounts, pending.account, answer.requests,
+                            pending.asked_at, world.queue.now);
+        return;
+    }
+    fleet::on_grant_in_time(process.hubs, world.daemons[connection->hub].identity.address);
+    pending.on_answer(
+        limits::grant{.requests = answer.requests, .retry_after = answer.retry_after});
+}
+
+void handle_ask(world& world, const hub_connection_pointer& connection,
+                const fleet::hub_message& message)
+{
+    const auto& ask = std::get<fleet::ask_message>(message);
+    const limits::grant taken = limits::take_from_pool(
+        process_of(world, connection->hub).gateway->accounts, ask.account, world.queue.now);
+    const fleet::grant_message answer = {
+        .number = ask.number, .requests = taken.requests, .retry_after = taken.retry_after};
+    send_to_subscriber(world, connection, answer, handle_grant);
+}
+
+void handle_report(world& world, const hub_connection_pointer& connection,
+                   const fleet::hub_message& message)
+{
+    const std::string& vm = world.daemons[connection->subscriber].identity.vm;
+    if (fleet::on_report(process_of(world, connection->hub).registry, vm,
+                         std::get<fleet::report_message>(message), world.queue.now))
+    {
+        apply_fleet_view(world, connection->hub);
+    }
+}
+
+void send_changes(world& world, const hub_connection_pointer& connection)
+{
+    const fleet::replica& replica = process_of(world, connection->hub).replica;
+    if (!replica.complete)
+    {
+        return;
+    }
+    fleet::update_message update;
+    update.revision = replica.revision;
+    update.age = world.queue.now - replica.current_as_of;
+    auto changes = connection->sent_sequence == 0
+                       ? std::nullopt
+                       : fleet::changes_after(replica, connection->sent_sequence);
+    update.complete = !changes.has_value();
+    update.changes = changes ? std::move(*changes) : fleet::make_snapshot(replica);
+    connection->sent_sequence = replica.sequence;
+    send_to_subscriber(world, connection, update, handle_update);
+}
+
+void send_updates_regularly(world& world, const hub_connection_pointer& connection)
+{
+    if (connection->open_at_hub)
+    {
+        send_changes(world, connection);
+        run_after(world, connection->hub, update_interval,
+                  [&world, connection] { send_updates_regularly(world, connection); });
+    }
+}
+
+void send_fleet_regularly(world& world, const hub_connection_pointer& connection)
+{
+    if (!connection->open_at_hub)
+    {
+        return;
+    }
+    const fleet::registry& registry = process_of(world, connection->hub).registry;
+    const bool unchanged = connection->members_version_sent == registry.members_version;
+    connection->members_version_sent = registry.members_version;
+    send_to_subscriber(world, connection,
+                       unchanged ? fleet::make_fleet_summary(registry, world.queue.now)
+                                 : fleet::make_fleet_message(registry, world.queue.now),
+                       handle_fleet);
+    run_after(world, connection->hub, report_interval,
+              [&world, connection] { send_fleet_regularly(world, connection); });
+}
+
+void handle_hello(world& world, const hub_connection_pointer& connection,
+                  const fleet::hub_message& message)
+{
+    const auto& hello = std::get<fleet::hello_message>(message);
+    process& hub = process_of(world, connection->hub);
+    fleet::on_hello(hub.registry, hello, world.queue.now);
+    apply_fleet_view(world, connection->hub);
+    hub.subscribers.push_back(connection);
+    const bool is_up_to_date = hello.revision != 0 && hello.revision == hub.replica.revision;
+    connection->sent_sequence = is_up_to_date ? hub.replica.sequence : 0;
+    send_updates_regularly(world, connection);
+    send_fleet_regularly(world, connection);
+}
+
+void close_at_hub(world& world, const hub_connection_pointer& connection)
+{
+    if (!connection->open_at_hub)
+    {
+        return;
+    }
+    connection->open_at_hub = false;
+    process& hub = process_of(world, connection->hub);
+    std::erase(hub.subscribers, connection);
+    fleet::on_unsubscribed(hub.registry, world.daemons[connection->subscriber].identity.vm,
+                           connection->subscriber_process, world.queue.now);
+    apply_fleet_view(world, connection->hub);
+}
+
+void close_at_subscriber(world& world, const hub_connection_pointer& connection)
+{
+    if (connection->open_at_subscriber)
+    {
+        connection->open_at_subscriber = false;
+        const std::string& address = world.daemons[connection->hub].identity.address;
+        process& process = process_of(world, connection->subscriber);
+        process.hub_connections.erase(address);
+        fleet::on_closed(process.hubs, address, world.queue.now);
+    }
+}
+
+void send_close_to_hub(world& world, const hub_connection_pointer& connection)
+{
+    const auto& hub = world.daemons[connection->hub].running;
+    if (hub && hub->number == connection->hub_process)
+    {
+        send_to_daemon(world, connection->subscriber, connection->hub, control_bytes,
+                       [&world, connection] { close_at_hub(world, connection); });
+    }
+}
+
+fleet::report_message make_report(const process& process, const std::string& address)
+{
+    return {.primary = address == process.primary_hub};
+}
+
+void open_connection(world& world, std::size_t daemon, std::size_t hub)
+{
+    process& subscriber = process_of(world, daemon);
+    const std::string& address = world.daemons[hub].identity.address;
+    const auto connection = std::make_shared<hub_connection>(
+        hub_connection{.subscriber = daemon,
+                       .hub = hub,
+                       .subscriber_process = subscriber.number,
+                       .hub_process = process_of(world, hub).number,
+                       .open_at_subscriber = true,
+                       .open_at_hub = true});
+    subscriber.hub_connections[address] = connection;
+    fleet::on_connected(subscriber.hubs, address, world.queue.now);
+    const std::uint64_t revision = subscriber.replica.complete ? subscriber.replica.revision : 0;
+    send_to_hub(world, connection,
+                fleet::hello_message{.self = world.daemons[daemon].identity,
+                                     .incarnation = subscriber.number,
+                                     .revision = revision},
+                handle_hello);
+    send_to_hub(world, connection, make_report(subscriber, address), handle_report);
+}
+
+/// A connection that is being opened.
+struct connect_attempt
+{
+    bool ended = false;
+};
+
+// The kernel of the hub's VM accepts or refuses the connection, unless the VM is suspended.
+void answer_connect(world& world, std::size_t daemon, std::size_t hub, const std::string& address,
+                    const std::shared_ptr<connect_attempt>& attempt)
+{
+    if (world.queue.now < world.daemons[hub].suspended_until)
+    {
+        return;
+    }
+    send_to_daemon(world, hub, daemon, control_bytes,
+                   [&world, daemon, hub, address, attempt]
+                   {
+                       if (attempt->ended)
+                       {
+                           return;
+                       }
+                       attempt->ended = true;
+                       if (world.daemons[hub].running)
+                       {
+                           open_connection(world, daemon, hub);
+                       }
+                       else
+                       {
+                           fleet::on_closed(process_of(world, daemon).hubs, address,
+                                            world.queue.now);
+                       }
+                   });
+}
+
+void connect(world& world, std::size_t daemon, const std::string& address)
+{
+    const auto attempt = std::make_shared<connect_attempt>();
+    run_after(world, daemon, connect_timeout,
+              [&world, daemon, address, attempt]
+              {
+                  if (!attempt->ended)
+                  {
+                      attempt->ended = true;
+                      fleet::on_closed(process_of(world, daemon).hubs, address, world.queue.now);
+                  }
+              });
+    const auto hub = find_daemon(world, address);
+    const std::uint64_t number = process_of(world, daemon).number;
+    if (!hub)
+    {
+        return;
+    }
+    send(world.net, world.queue, daemon, *hub, control_bytes,
+         [&world, daemon, hub, address, attempt, number]
+         {
+             const auto& running = world.daemons[daemon].running;
+             if (running && running->number == number)
+             {
+                 answer_connect(world, daemon, *hub, address, attempt);
+             }
+         });
+}
+
+void close_unwanted_connections(world& world, std::size_t daemon)
+{
+    process& process = process_of(world, daemon);
+    const auto open = process.hub_connections;
+    for (const auto& [address, connection] : open)
+    {
+        if (!fleet::is_wanted(process.hubs, address, world.queue.now))
+        {
+            close_at_subscriber(world, connection);
+            send_close_to_hub(world, connection);
+        }
+    }
+}
+
+void report_to_hubs(world& world, std::size_t daemon)
+{
+    process& process = process_of(world, daemon);
+    fleet::remove_expired_members(process.registry, world.queue.now);
+    std::erase_if(process.pending_grants,
+                  [&](const auto& entry)
+                  {
+                      return !entry.second.on_answer &&
+                             world.queue.now - entry.second.asked_at > late_grant_lifetime;
+                  });
+    for (const auto& [address, connection] : process.hub_connections)
+    {
+        send_to_hub(world, connection, make_report(process, address), handle_report);
+    }
+    apply_fleet_view(world, daemon);
+}
+
+} // namespace
+
+void check_hubs(world& world, std::size_t daemon)
+{
+    process& process = process_of(world, daemon);
+    const core::time_point now = world.queue.now;
+    for (const std::string& address : fleet::connections_to_open(process.hubs, now))
+    {
+        connect(world, daemon, address);
+    }
+    close_unwanted_connections(world, daemon);
+    const auto primary = fleet::primary_hub(process.hubs, now);
+    if (primary != process.primary_hub || now >= process.next_report_at)
+    {
+        process.primary_hub = primary;
+        process.next_report_at = now + report_interval;
+        report_to_hubs(world, daemon);
+    }
+    run_after(world, daemon, primary ? hub_check_interval : fast_hub_check_interval,
+              [&world, daemon] { check_hubs(world, daemon); });
+}
+
+void notify_subscribers(world& world, std::size_t daemon)
+{
+    for (const hub_connection_pointer& connection : process_of(world, daemon).subscribers)
+    {
+        send_changes(world, connection);
+    }
+}
+
+void request_grant(world& world, std::size_t daemon, const std::string& account,
+                   std::function<void(std::optional<limits::grant>)> on_answer)
+{
+    process& process = process_of(world, daemon);
+    if (process.primary_hub == process.hubs.own_address)
+    {
+        on_answer(limits::take_from_pool(process.gateway->accounts, account, world.queue.now));
+        return;
+    }
+    const auto hub = process.primary_hub ? process.hub_connections.find(*process.primary_hub)
+                                         : process.hub_connections.end();
+    if (hub == process.hub_connections.end())
+    {
+        on_answer(std::nullopt);
+        return;
+    }
+    const std::uint64_t number = process.next_grant++;
+    process.pending_grants[number] = {account, world.queue.now, std::move(on_answer)};
+    send_to_hub(world, hub->second, fleet::ask_message{.number = number, .account = account},
+                handle_ask);
+    run_after(world, daemon, grant_timeout,
+              [&world, daemon, number, address = hub->first]
+              {
+                  auto& pending = process_of(world, daemon).pending_grants;
+                  const auto found = pending.find(number);
+                  if (found != pending.end() && found->second.on_answer)
+                  {
+                      const auto answer = std::move(found->second.on_answer);
+                      found->second.on_answer = nullptr;
+                      fleet::on_grant_late(process_of(world, daemon).hubs, address,
+                                           world.queue.now);
+                      answer(std::nullopt);
+                  }
+              });
+}
+
+void close_all_connections(world& world, std::size_t daemon)
+{
+    process& process = process_of(world, daemon);
+    for (const auto& [address, connection] : process.hub_connections)
+    {
+        connection->open_at_subscriber = false;
+        send_close_to_hub(world, connection);
+    }
+    for (const hub_connection_pointer& connection : process.subscribers)
+    {
+        connection->open_at_hub = false;
+        const auto& peer = world.daemons[connection->subscriber].running;
+        if (peer && peer->number == connection->subscriber_process)
+        {
+            send_to_daemon(world, daemon, connection->subscriber, control_bytes,
+                           [&world, connection] { close_at_subscriber(world, connection); });
+        }
+    }
+}
+
+} // namespace zinniaferry::model
--- /dev/null
+++ b/src/model/injection.cpp
@@ -0,0 +1,73 @@
+#include "model/injection.hpp"
+
+#include <array>
+
+namespace zinniaferry::model
+{
+
+namespace
+{
+
+struct injection_entry
+{
+    injection value;
+    std::string_view name;
+    promise broken;
+};
+
+constexpr std::array injection_table = {
+    injection_entry{injection::apply_older_version, "apply_older_version", promise::config},
+    injection_entry{injection::keep_withdrawn_keys, "keep_withdrawn_keys", promise::config},
+    injection_entry{injection::forget_route, "forget_route", promise::denied},
+};
+
+/// In the order of `promise`.
+constexpr std::array promise_names = {"CONFIG", "DENIED", "ROUTE"};
+
+} // namespace
+
+std::string_view to_string(injection value)
+{
+    for (const injection_entry& entry : injection_table)
+    {
+        if (entry.value == value)
+        {
+            return entry.name;
+        }
+    }
+    return "none";
+}
+
+std::string_view to_string(promise value)
+{
+    return promise_names.at(static_cast<std::size_t>(value));
+}
+
+std::vector<injection> all_injections()
+{
+    std::vector<injection> out;
+    for (const injection_entry& entry : injection_table)
+    {
+        out.push_back(entry.value);
+    }
+    return out;
+}
+
+std::optional<injection> injection_from(std::string_view name)
+{
+    for (const injection_entry& entry : injection_table)
+    {
+        if (entry.name == name)
+        {
+            return entry.value;
+        }
+    }
+    return std::nullopt;
+}
+
+promise broken_promise(injection value)
+{
+    return injection_table.at(static_cast<std::size_t>(value) - 1).broken;
+}
+
+} // namespace zinniaferry::model
--- /dev/null
+++ b/src/model/injection.hpp
@@ -0,0 +1,40 @@
+/// Deliberate faults in the model's use of the decision code, which show that the checks find them.
+#pragma once
+
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace zinniaferry::model
+{
+
+enum class injection
+{
+    none,
+    apply_older_version, ///< A configuration is replaced by the one before it.
+    keep_withdrawn_keys, ///< Keys of the configuration before are accepted.
+    forget_route         ///< For a moment after each change, the first route is unknown.
+};
+
+/// The groups of promises, with the names that the platform's rules have.
+enum class promise
+{
+    config,
+    denied,
+    route
+};
+
+/// Returns the name of the option --inject. Thread safe.
+std::string_view to_string(injection value);
+std::string_view to_string(promise value);
+
+/// Returns all injections except `none`. Thread safe.
+std::vector<injection> all_injections();
+
+/// Returns the injection of the name, or nothing. Thread safe.
+std::optional<injection> injection_from(std::string_view name);
+
+/// Returns the promise that the injection breaks. Precondition: not `none`. Thread safe.
+promise broken_promise(injection value);
+
+} // namespace zinniaferry::model
--- /dev/null
+++ b/src/model/run.cpp
@@ -0,0 +1,66 @@
+#include "model/run.hpp"
+
+#include "model/callers.hpp"
+#include "model/operator.hpp"
+#include "model/scenario.hpp"
+#include "model/world.hpp"
+
+#include <algorithm>
+
+namespace zinniaferry::model
+{
+
+namespace
+{
+
+/// Leaves time for the fleet to start before disturbances begin.
+constexpr core::duration calm_time = std::chrono::seconds(6);
+/// Leaves time for the fleet to come back after them.
+constexpr core::duration last_calm_time = std::chrono::seconds(8);
+/// A daemon takes the earliest times for "never".
+constexpr core::time_point start{std::chrono::seconds(1000)};
+
+std::unique_ptr<world> make_world(const run_options& options)
+{
+    auto out = std::make_unique<world>();
+    out->random.seed(options.seed);
+    out->injected = options.injected;
+    out->queue.now = start;
+    out->net = make_network(options.daemons + 1);
+    out->store.out_of_reach.assign(options.daemons, false);
+    out->history.daemon_disturbances.resize(options.daemons);
+    for (std::size_t i = 0; i < options.daemons; ++i)
+    {
+        const std::string vm = "vm-" + std::to_string(i + 1);
+        out->daemons.push_back({.identity = {.vm = vm, .address = vm + ":9000"},
+                                .data_centre = data_centre_name(i % data_centre_count)});
+    }
+    return out;
+}
+
+} // namespace
+
+run_result run(const run_options& options)
+{
+    const std::unique_ptr<world> world = make_world(options);
+    const core::time_point end = start + options.length;
+    list_servers(*world);
+    publish_configuration(*world);
+    for (std::size_t i = 0; i < world->daemons.size(); ++i)
+    {
+        start_process(*world, i);
+    }
+    schedule(world->queue, start + std::chrono::seconds(1),
+             [&world, end] { start_callers(*world, end); });
+    schedule_scenario(*world, start + calm_time, end - last_calm_time);
+    run_until(world->queue, end);
+    const auto& requests = world->history.requests;
+    return {.violations = find_violations(world->history, world->bounds),
+            .requests = requests.size(),
+            .successes = static_cast<std::size_t>(std::count_if(requests.begin(), requests.end(),
+                                                                [](const request_record& entry)
+                                                                { return entry.status == 200; })),
+            .versions = world->history.configurations.size()};
+}
+
+} // namespace zinniaferry::model
--- /dev/null
+++ b/test/correctness/model/fleet_check_test.cpp
@@ -0,0 +1,59 @@
+#include "model/run.hpp"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace zinniaferry::model
+{
+namespace
+{
+
+std::string lines_of(const run_result& result)
+{
+    std::string out;
+    for (const violation& entry : result.violations)
+    {
+        out += to_string(entry) + "\n";
+    }
+    return out;
+}
+
+// Guards against a broken promise of the fleet under outages, partitions, restarts and suspensions.
+TEST(fleet_check, seeds_without_injection_have_no_violation)
+{
+    for (const std::uint64_t seed : {1U, 2U, 3U, 4U, 5U})
+    {
+        const run_result result = run({.seed = seed});
+        EXPECT_EQ(lines_of(result), "") << "seed " << seed;
+        EXPECT_GT(result.successes, result.requests / 4) << "seed " << seed;
+    }
+}
+
+// Guards against a check that cannot fail: each deliberate fault must be reported as a violation of
+// the promise that it breaks, and of no other.
+TEST(fleet_check, finds_each_injected_fault)
+{
+    for (const injection injected : all_injections())
+    {
+        std::set<promise> found;
+        for (const violation& entry : run({.seed = 1, .injected = injected}).violations)
+        {
+            found.insert(entry.broken);
+        }
+        EXPECT_EQ(found, std::set<promise>{broken_promise(injected)}) << to_string(injected);
+    }
+}
+
+// Guards against state outside the seed, with which a reported violation could not be repeated.
+TEST(fleet_check, the_same_seed_gives_the_same_run)
+{
+    const run_options options = {.seed = 6, .injected = injection::apply_older_version};
+    const run_result first = run(options);
+    const run_result second = run(options);
+    EXPECT_EQ(lines_of(first), lines_of(second));
+    EXPECT_EQ(first.successes, second.successes);
+}
+
+} // namespace
+} // namespace zinniaferry::model
