Check in the model that requests run once and refusals are true

TWICE and REFUSED are judged by what reached the servers and what callers got. Two deliberate faults break them: every request counts as idempotent, and every request that is given up is answered as not run.

--- a/src/model/checks.hpp
+++ b/src/model/checks.hpp
@@ -36,6 +36,10 @@
 void check_configurations(const history& history, const bounds& bounds,
                           std::vector<violation>& out);
 
+/// TWICE and REFUSED: a request that is not idempotent runs once at most, and not at all after a
+/// response that promises so.
+void check_runs(const history& history, std::vector<violation>& out);
+
 /// Returns the violation as one line.
 std::string to_string(const violation& violation);
 
--- a/src/model/injection.hpp
+++ b/src/model/injection.hpp
@@ -13,7 +13,9 @@
     none,
     apply_older_version, ///< A configuration is replaced by the one before it.
     keep_withdrawn_keys, ///< Keys of the configuration before are accepted.
-    forget_route         ///< For a moment after each change, the first route is unknown.
+    forget_route,        ///< For a moment after each change, the first route is unknown.
+    retry_unsafe,        ///< Every request counts as idempotent.
+    promise_not_run      ///< A request that was given up is always answered "not run".
 };
 
 /// The groups of promises, with the names that the platform's rules have.
@@ -21,7 +23,9 @@
 {
     config,
     denied,
-    route
+    route,
+    twice,
+    refused
 };
 
 /// Returns the name of the option --inject. Thread safe.
--- a/src/model/requests.cpp
+++ b/src/model/requests.cpp
@@ -127,7 +127,8 @@
     }
     const auto unknown =
         world.queue.now >= flow->deadline ? refusal_reason::deadline : refusal_reason::server_lost;
-    refuse(world, flow, not_run ? refusal_reason::no_server : unknown);
+    const bool promised = not_run || world.injected == injection::promise_not_run;
+    refuse(world, flow, promised ? refusal_reason::no_server : unknown);
 }
 
 void settle(world& world, const flow_pointer& flow, const routing::backend_pointer& server,
@@ -323,7 +324,9 @@
 {
     net::gateway& gateway = *process_of(world, flow).gateway;
     flow->service = config::select_service(*flow->route, core::uniform(gateway.random));
-    flow->progress = {.idempotent = flow->route->idempotent, .max_runs = flow->route->attempts};
+    flow->progress = {.idempotent =
+                          flow->route->idempotent || world.injected == injection::retry_unsafe,
+                      .max_runs = flow->route->attempts};
     limits::on_first_attempt(gateway.retry_budget, flow->service);
     run_after(world, flow->daemon, flow->deadline - world.queue.now,
               [&world, flow]
