Check leaving, evacuated and cold servers in the model

DRAIN, EVAC and FAILBACK are judged by the requests that reach servers. Half of the servers that leave are removed without being listed as leaving, so that ignored tombstones show. Four deliberate faults break the three promises.

--- a/src/model/checks.cpp
+++ b/src/model/checks.cpp
@@ -12,6 +12,7 @@
     std::vector<violation> out;
     check_configurations(history, bounds, out);
     check_runs(history, out);
+    check_servers(history, bounds, out);
     std::stable_sort(out.begin(), out.end(),
                      [](const violation& a, const violation& b) { return a.at < b.at; });
     return out;
--- a/src/model/checks.hpp
+++ b/src/model/checks.hpp
@@ -40,6 +40,10 @@
 /// response that promises so.
 void check_runs(const history& history, std::vector<violation>& out);
 
+/// DRAIN, EVAC and FAILBACK: leaving servers and data centres out of service get no requests, and
+/// cold servers no more than they tolerate.
+void check_servers(const history& history, const bounds& bounds, std::vector<violation>& out);
+
 /// Returns the violation as one line.
 std::string to_string(const violation& violation);
 
--- a/src/model/injection.cpp
+++ b/src/model/injection.cpp
@@ -21,10 +21,15 @@
     injection_entry{injection::forget_route, "forget_route", promise::denied},
     injection_entry{injection::retry_unsafe, "retry_unsafe", promise::twice},
     injection_entry{injection::promise_not_run, "promise_not_run", promise::refused},
+    injection_entry{injection::ignore_draining, "ignore_draining", promise::drain},
+    injection_entry{injection::ignore_tombstones, "ignore_tombstones", promise::drain},
+    injection_entry{injection::ignore_evacuation, "ignore_evacuation", promise::evac},
+    injection_entry{injection::ignore_warmup, "ignore_warmup", promise::failback},
 };
 
 /// In the order of `promise`.
-constexpr std::array promise_names = {"CONFIG", "DENIED", "ROUTE", "TWICE", "REFUSED"};
+constexpr std::array promise_names = {"CONFIG",  "DENIED", "ROUTE", "TWICE",
+                                      "REFUSED", "DRAIN",  "EVAC",  "FAILBACK"};
 
 } // namespace
 
--- a/src/model/injection.hpp
+++ b/src/model/injection.hpp
@@ -15,7 +15,11 @@
     keep_withdrawn_keys, ///< Keys of the configuration before are accepted.
     forget_route,        ///< For a moment after each change, the first route is unknown.
     retry_unsafe,        ///< Every request counts as idempotent.
-    promise_not_run      ///< A request that was given up is always answered "not run".
+    promise_not_run,     ///< A request that was given up is always answered "not run".
+    ignore_draining,     ///< Servers that are listed as leaving count as serving.
+    ignore_tombstones,   ///< Servers that were removed stay listed.
+    ignore_evacuation,   ///< Data centres are never out of service.
+    ignore_warmup        ///< Cold servers count as warm.
 };
 
 /// The groups of promises, with the names that the platform's rules have.
@@ -25,7 +29,10 @@
     denied,
     route,
     twice,
-    refused
+    refused,
+    drain,
+    evac,
+    failback
 };
 
 /// Returns the name of the option --inject. Thread safe.
--- a/src/model/operator.hpp
+++ b/src/model/operator.hpp
@@ -19,7 +19,7 @@
 /// Starts and lists the servers of all services, warm.
 void list_servers(world& world);
 
-/// Lists the server as leaving, removes it, ends it, and starts it again, cold.
+/// Lists the server as leaving or removes it at once, ends it later, and starts it again, cold.
 void restart_server(world& world, const std::string& server);
 
 /// Takes the data centre out of service and puts it back in after `time`; its servers are cold
--- a/src/model/process.cpp
+++ b/src/model/process.cpp
@@ -65,9 +65,11 @@
 {
     if (change.value)
     {
-        net::apply_server_listing(gateway, world.listings.at(*change.value), world.queue.now);
+        routing::listed_backend listed = world.listings.at(*change.value);
+        listed.draining = listed.draining && world.injected != injection::ignore_draining;
+        net::apply_server_listing(gateway, listed, world.queue.now);
     }
-    else
+    else if (world.injected != injection::ignore_tombstones)
     {
         net::remove_server(gateway, change.key.substr(server_key_prefix.size()));
     }
@@ -84,7 +86,8 @@
     {
         apply_server_entry(world, gateway, change);
     }
-    else if (change.key.starts_with(evacuation_key_prefix))
+    else if (change.key.starts_with(evacuation_key_prefix) &&
+             world.injected != injection::ignore_evacuation)
     {
         net::set_data_centre_in_service(gateway, change.key.substr(evacuation_key_prefix.size()),
                                         !change.value, world.queue.now);
--- a/src/model/requests.cpp
+++ b/src/model/requests.cpp
@@ -272,9 +272,21 @@
               [&world, flow] { continue_request(world, flow); });
 }
 
+void forget_warmup(routing::backend_set& backends, core::time_point now)
+{
+    for (const auto& [id, server] : backends.by_id)
+    {
+        server->cold_until = std::min(server->cold_until, now);
+    }
+}
+
 void select_server(world& world, const flow_pointer& flow)
 {
     net::gateway& gateway = *process_of(world, flow).gateway;
+    if (world.injected == injection::ignore_warmup)
+    {
+        forget_warmup(gateway.backends, world.queue.now);
+    }
     const auto candidates =
         routing::select_candidates(gateway.backends, flow->service, flow->tried, probed_candidates,
                                    world.queue.now, gateway.random);
