Check quotas and the retry budget in the model

QUOTA and BUDGET are judged by the requests that run and arrive at servers, in sliding windows. Three deliberate faults break them. All servers of a service may fail at once, so that retries are needed in numbers.

Traces show two causes in the product: a hub that has no configuration grants a request for every ask, and a member that becomes a hub behind a partition takes its side for the whole fleet once its connections to the former hubs are closed.

--- a/src/model/checks.cpp
+++ b/src/model/checks.cpp
@@ -13,6 +13,8 @@
     check_configurations(history, bounds, out);
     check_runs(history, out);
     check_servers(history, bounds, out);
+    check_quotas(history, bounds, out);
+    check_budgets(history, bounds, out);
     std::stable_sort(out.begin(), out.end(),
                      [](const violation& a, const violation& b) { return a.at < b.at; });
     return out;
--- a/src/model/checks.hpp
+++ b/src/model/checks.hpp
@@ -44,6 +44,14 @@
 /// cold servers no more than they tolerate.
 void check_servers(const history& history, const bounds& bounds, std::vector<violation>& out);
 
+/// QUOTA: no window has more requests of an account than its rate and the tolerance allow. The
+/// accounts' rates are the same in all configurations of the model.
+void check_quotas(const history& history, const bounds& bounds, std::vector<violation>& out);
+
+/// BUDGET: no window has more repeats at a service than its requests allow, and requests run on no
+/// more servers than their route's attempts.
+void check_budgets(const history& history, const bounds& bounds, std::vector<violation>& out);
+
 /// Returns the violation as one line.
 std::string to_string(const violation& violation);
 
--- a/src/model/injection.cpp
+++ b/src/model/injection.cpp
@@ -25,11 +25,14 @@
     injection_entry{injection::ignore_tombstones, "ignore_tombstones", promise::drain},
     injection_entry{injection::ignore_evacuation, "ignore_evacuation", promise::evac},
     injection_entry{injection::ignore_warmup, "ignore_warmup", promise::failback},
+    injection_entry{injection::spend_grants_twice, "spend_grants_twice", promise::quota},
+    injection_entry{injection::unlimited_retries, "unlimited_retries", promise::budget},
+    injection_entry{injection::ignore_attempts, "ignore_attempts", promise::budget},
 };
 
 /// In the order of `promise`.
-constexpr std::array promise_names = {"CONFIG",  "DENIED", "ROUTE", "TWICE",
-                                      "REFUSED", "DRAIN",  "EVAC",  "FAILBACK"};
+constexpr std::array promise_names = {"CONFIG", "DENIED", "ROUTE",    "TWICE", "REFUSED",
+                                      "DRAIN",  "EVAC",   "FAILBACK", "QUOTA", "BUDGET"};
 
 } // namespace
 
--- a/src/model/injection.hpp
+++ b/src/model/injection.hpp
@@ -19,7 +19,10 @@
     ignore_draining,     ///< Servers that are listed as leaving count as serving.
     ignore_tombstones,   ///< Servers that were removed stay listed.
     ignore_evacuation,   ///< Data centres are never out of service.
-    ignore_warmup        ///< Cold servers count as warm.
+    ignore_warmup,       ///< Cold servers count as warm.
+    spend_grants_twice,  ///< Each grant is spent twice.
+    unlimited_retries,   ///< Retries are not limited by a budget.
+    ignore_attempts      ///< Requests may run on any number of servers.
 };
 
 /// The groups of promises, with the names that the platform's rules have.
@@ -32,7 +35,9 @@
     refused,
     drain,
     evac,
-    failback
+    failback,
+    quota,
+    budget
 };
 
 /// Returns the name of the option --inject. Thread safe.
--- a/src/model/scenario.cpp
+++ b/src/model/scenario.cpp
@@ -195,6 +195,19 @@
     }
 }
 
+void make_service_fail(world& world)
+{
+    const std::string service = world.servers.at(any_server(world)).service;
+    const core::time_point until = world.queue.now + between(world, 0.5, 5.0);
+    for (auto& [id, server] : world.servers)
+    {
+        if (server.service == service)
+        {
+            server.failing_until = until;
+        }
+    }
+}
+
 void evacuate_any(world& world)
 {
     const std::string name = data_centre_name(core::uniform_index(world.random, data_centre_count));
@@ -224,6 +237,7 @@
                             restart_any_server,
                             restart_any_server,
                             make_servers_fail,
+                            make_service_fail,
                             evacuate_any};
 
 } // namespace
