--- a/src/model/injection.cpp
+++ b/src/model/injection.cpp
@@ -19,6 +19,7 @@
     injection_entry{injection::apply_older_version, "apply_older_version", promise::config},
     injection_entry{injection::keep_withdrawn_keys, "keep_withdrawn_keys", promise::config},
     injection_entry{injection::forget_route, "forget_route", promise::denied},
+    injection_entry{injection::wrong_service, "wrong_service", promise::route},
     injection_entry{injection::retry_unsafe, "retry_unsafe", promise::twice},
     injection_entry{injection::promise_not_run, "promise_not_run", promise::refused},
     injection_entry{injection::ignore_draining, "ignore_draining", promise::drain},
--- a/src/model/injection.hpp
+++ b/src/model/injection.hpp
@@ -14,6 +14,7 @@
     apply_older_version, ///< A configuration is replaced by the one before it.
     keep_withdrawn_keys, ///< Keys of the configuration before are accepted.
     forget_route,        ///< For a moment after each change, the first route is unknown.
+    wrong_service,       ///< Requests of the first route go to the second route's service.
     retry_unsafe,        ///< Every request counts as idempotent.
     promise_not_run,     ///< A request that was given up is always answered "not run".
     ignore_draining,     ///< Servers that are listed as leaving count as serving.
--- a/src/model/requests.cpp
+++ b/src/model/requests.cpp
@@ -334,10 +334,18 @@
     }
 }
 
+std::string choose_service(world& world, const flow_pointer& flow)
+{
+    const auto& routes = flow->configuration->config->routes;
+    const bool wrong = world.injected == injection::wrong_service && flow->route == &routes.front();
+    const double fraction = core::uniform(process_of(world, flow).gateway->random);
+    return config::select_service(wrong ? routes[1] : *flow->route, fraction);
+}
+
 void forward(world& world, const flow_pointer& flow)
 {
     net::gateway& gateway = *process_of(world, flow).gateway;
-    flow->service = config::select_service(*flow->route, core::uniform(gateway.random));
+    flow->service = choose_service(world, flow);
     flow->progress = {
         .idempotent = flow->route->idempotent || world.injected == injection::retry_unsafe,
         .max_runs =
