--- a/src/model/injection.cpp
+++ b/src/model/injection.cpp
@@ -57,6 +57,7 @@
 std::vector<injection> all_injections()
 {
     std::vector<injection> out;
+    out.reserve(injection_table.size());
     for (const injection_entry& entry : injection_table)
     {
         out.push_back(entry.value);
--- a/src/model/requests.cpp
+++ b/src/model/requests.cpp
@@ -393,7 +393,7 @@
     }
     request_grant(world, flow->daemon, flow->account,
                   [&world, flow](std::optional<limits::grant> granted)
-                  { on_grant(world, flow, std::move(granted)); });
+                  { on_grant(world, flow, granted); });
 }
 
 } // namespace
