--- a/src/fleet/replica.cpp
+++ b/src/fleet/replica.cpp
@@ -71,6 +71,17 @@
 
 } // namespace
 
+core::time_point long_poll_current_as_of(const long_poll& poll, core::time_point received_at,
+                                         bool has_changes)
+{
+    const core::time_point end_of_wait = poll.requested_at + poll.max_wait;
+    if (!has_changes)
+    {
+        return std::min(received_at, end_of_wait);
+    }
+    return received_at <= end_of_wait ? received_at : poll.requested_at;
+}
+
 std::vector<entry_change> apply_changes(replica& replica, std::vector<entry_change> changes,
                                         std::uint64_t revision)
 {
--- a/src/fleet/replica.hpp
+++ b/src/fleet/replica.hpp
@@ -57,6 +57,20 @@
 
 /// All functions: not thread safe for the same replica.
 
+/// A request that the platform answers at once if there are changes, and otherwise after a wait.
+struct long_poll
+{
+    core::time_point requested_at;
+    core::duration max_wait{};
+};
+
+/// Returns the time as of which the response to a long poll is known to be current. One without
+/// changes was sent at the end of the wait. One with changes that came after that time was delayed
+/// on its way or while this VM was suspended, and may have been sent at any time since the request.
+/// Thread safe.
+core::time_point long_poll_current_as_of(const long_poll& poll, core::time_point received_at,
+                                         bool has_changes);
+
 /// Applies changes that bring the replica to `revision`. Returns those that took effect.
 std::vector<entry_change> apply_changes(replica& replica, std::vector<entry_change> changes,
                                         std::uint64_t revision);
--- a/src/net/configuration_service.cpp
+++ b/src/net/configuration_service.cpp
@@ -120,7 +120,9 @@
             // The service answers so at the end of the wait.
             context.replica.current_as_of =
                 std::max(context.replica.current_as_of,
-                         std::min(core::boot_clock_now(), requested_at + long_poll_wait));
+                         fleet::long_poll_current_as_of(
+                             {.requested_at = requested_at, .max_wait = long_poll_wait},
+                             core::boot_clock_now(), false));
             context.on_changes({});
         }
         else
--- a/test/correctness/fleet/replica_test.cpp
+++ b/test/correctness/fleet/replica_test.cpp
@@ -112,5 +112,16 @@
     EXPECT_EQ(make_snapshot(copy, 0), make_snapshot(hub, 0));
 }
 
+// Guards against a replica that counts as current because a response to a long poll was read late,
+// after it had waited in a full link or while the VM was suspended.
+TEST(replica, a_delayed_response_to_a_long_poll_is_as_old_as_it_may_be)
+{
+    const long_poll poll = {.requested_at = start, .max_wait = 1s};
+    EXPECT_EQ(long_poll_current_as_of(poll, start + 300ms, true), start + 300ms);
+    EXPECT_EQ(long_poll_current_as_of(poll, start + 5s, true), start);
+    EXPECT_EQ(long_poll_current_as_of(poll, start + 5s, false), start + 1s);
+    EXPECT_EQ(long_poll_current_as_of(poll, start + 999ms, false), start + 999ms);
+}
+
 } // namespace
 } // namespace zinniaferry::fleet
