--- a/src/fleet/registry.cpp
+++ b/src/fleet/registry.cpp
@@ -13,6 +13,9 @@
 /// All members subscribe to a new hub within this time.
 constexpr core::duration discovery_time = std::chrono::seconds(3);
 
+/// As hub_choice.cpp's hub_silence_timeout: after it a member has another primary hub.
+constexpr core::duration primary_silence_timeout = std::chrono::milliseconds(1300);
+
 /// A member that no hub has reported for longer has left the fleet.
 constexpr core::duration member_cache_lifetime = std::chrono::seconds(5);
 
@@ -122,11 +125,23 @@
     return out;
 }
 
-std::size_t count_primary_members(const registry& registry)
+std::size_t count_primary_members(const registry& registry, core::time_point now)
 {
     return static_cast<std::size_t>(std::count_if(registry.members.begin(), registry.members.end(),
-                                                  [](const auto& entry)
-                                                  { return entry.second.primary; }));
+                                                  [&](const auto& entry) {
+                                                      return entry.second.primary &&
+                                                             now - entry.second.last_heard <
+                                                                 primary_silence_timeout;
+                                                  }));
+}
+
+std::size_t largest_recent_size(known_size& size, std::size_t known, core::time_point now)
+{
+    if (known >= size.largest || now - size.largest_at > member_retention)
+    {
+        size = {.largest = known, .largest_at = now};
+    }
+    return size.largest;
 }
 
 } // namespace zinniaferry::fleet
--- a/src/fleet/registry.hpp
+++ b/src/fleet/registry.hpp
@@ -69,7 +69,19 @@
 /// Returns the same message with this daemon and its subscribed members.
 fleet_message make_fleet_message(const registry& registry, core::time_point now);
 
-/// Returns how many members use this daemon as their primary hub.
-std::size_t count_primary_members(const registry& registry);
+/// Returns how many members use this daemon as their primary hub. Members that have been silent for
+/// longer than a hub may be do not count: they have chosen another one.
+std::size_t count_primary_members(const registry& registry, core::time_point now);
+
+/// The largest number of known members in recent times. A daemon behind a network partition hears
+/// only of the members on its side, whose shares must not grow.
+struct known_size
+{
+    std::size_t largest = 0;
+    core::time_point largest_at; ///< When `largest` was last known.
+};
+
+/// Records a number of known members. Returns the largest one of the last 30 s. Not thread safe.
+std::size_t largest_recent_size(known_size& size, std::size_t known, core::time_point now);
 
 } // namespace zinniaferry::fleet
--- a/src/model/fleet_view.cpp
+++ b/src/model/fleet_view.cpp
@@ -31,15 +31,16 @@
         any_settled = any_settled || (has_reported && last.settled);
         fleet::record_members(process.member_cache, connection->members, now);
     }
+    known = fleet::largest_recent_size(process.known_size, known, now);
     const bool own_primary = process.primary_hub == process.hubs.own_address;
     const std::size_t members_known = all_settled ? known : std::max(known, min_assumed_members);
     net::gateway& gateway = *process.gateway;
-    limits::set_fleet_size(
-        gateway.accounts,
-        {.primary_members = fleet::count_primary_members(process.registry) + (own_primary ? 1 : 0),
-         .members_known = members_known,
-         .is_size_known = any_settled},
-        now);
+    limits::set_fleet_size(gateway.accounts,
+                           {.primary_members = fleet::count_primary_members(process.registry, now) +
+                                               (own_primary ? 1 : 0),
+                            .members_known = members_known,
+                            .is_size_known = any_settled},
+                           now);
     limits::set_standalone(gateway.accounts, !process.primary_hub.has_value(), now);
     gateway.retry_budget.members = members_known;
     gateway.backends.members = fleet::recent_members(process.member_cache, now);
--- a/src/model/hub_links.cpp
+++ b/src/model/hub_links.cpp
@@ -201,8 +201,13 @@
                 const fleet::hub_message& message)
 {
     const auto& ask = std::get<fleet::ask_message>(message);
-    const limits::grant taken = limits::take_from_pool(
-        process_of(world, connection->hub).gateway->accounts, ask.account, world.queue.now);
+    process& hub = process_of(world, connection->hub);
+    if (!hub.replica.complete)
+    {
+        return;
+    }
+    const limits::grant taken =
+        limits::take_from_pool(hub.gateway->accounts, ask.account, world.queue.now);
     const fleet::grant_message answer = {
         .number = ask.number, .requests = taken.requests, .retry_after = taken.retry_after};
     send_to_subscriber(world, connection, answer, handle_grant);
--- a/src/model/world.hpp
+++ b/src/model/world.hpp
@@ -64,6 +64,7 @@
     fleet::hub_choice hubs;
     fleet::registry registry;
     fleet::member_cache member_cache;
+    fleet::known_size known_size;
     std::unique_ptr<net::gateway> gateway;
     /// The configuration before the one in force, for injections.
     std::shared_ptr<const config::configuration_index> previous_configuration;
--- a/src/net/hub_links.cpp
+++ b/src/net/hub_links.cpp
@@ -154,6 +154,11 @@
 
 void hub_links::answer_grant_request(link& subscriber, const fleet::ask_message& request)
 {
+    // Without a configuration no account is known to have a limit.
+    if (!replica_.complete)
+    {
+        return;
+    }
     const limits::grant grant = callbacks_.take_from_pool(request.account);
     send(subscriber, fleet::grant_message{.number = request.number,
                                           .requests = grant.requests,
@@ -449,11 +454,12 @@
         }
         fleet::record_members(member_cache_, hub->members, now);
     }
+    known = fleet::largest_recent_size(known_size_, known, now);
     fleet_view view;
     view.members = fleet::recent_members(member_cache_, now);
     view.members_known = all_settled ? known : std::max(known, min_assumed_members);
-    view.primary_members =
-        fleet::count_primary_members(registry_) + (primary_hub_ == choice_.own_address ? 1 : 0);
+    view.primary_members = fleet::count_primary_members(registry_, now) +
+                           (primary_hub_ == choice_.own_address ? 1 : 0);
     view.hub_reachable = primary_hub_.has_value();
     view.own_selection_rate = registry_.own_selection_rate;
     view.fleet_selection_rate = fleet_selection_rate;
--- a/src/net/hub_links.hpp
+++ b/src/net/hub_links.hpp
@@ -147,6 +147,7 @@
     fleet::hub_choice choice_;
     fleet::registry registry_;
     fleet::member_cache member_cache_;
+    fleet::known_size known_size_;
     std::unordered_set<link_pointer> subscribers_;
     std::unordered_map<std::string, link_pointer> hubs_; ///< By address.
     shared_update shared_update_;
--- a/test/correctness/fleet/hub_choice_test.cpp
+++ b/test/correctness/fleet/hub_choice_test.cpp
@@ -242,11 +242,11 @@
         }
     }
     EXPECT_EQ(make_fleet_message(hub, start).members.size(), 4U);
-    EXPECT_EQ(count_primary_members(hub), 3U);
+    EXPECT_EQ(count_primary_members(hub, start), 3U);
     on_unsubscribed(hub, "vm-1", 1, start + 1s);
     EXPECT_EQ(make_fleet_message(hub, start + 1s).members.size(), 3U);
     EXPECT_EQ(make_fleet_message(hub, start + 1s).members_known, 4U);
-    EXPECT_EQ(count_primary_members(hub), 2U);
+    EXPECT_EQ(count_primary_members(hub, start + 1s), 2U);
     on_hello(hub, {.self = {"vm-1", "m1"}, .incarnation = 2}, start + 2s);
     on_unsubscribed(hub, "vm-1", 1, start + 2s);
     EXPECT_EQ(make_fleet_message(hub, start + 2s).members.size(), 4U)
@@ -304,5 +304,27 @@
     EXPECT_EQ(connections_to_open(choice, start), (strings{"m7", "m13"}));
 }
 
+// Guards against rates that are granted twice: members that hear nothing of their hub change to
+// another one, while the old one counts them until their connections close.
+TEST(registry, silent_members_do_not_count_as_primary)
+{
+    registry hub{.self = {"vm-0", "m0"}, .started = start};
+    on_hello(hub, {.self = {"vm-1", "m1"}, .incarnation = 1}, start);
+    on_report(hub, "vm-1", {.primary = true}, start + 1s);
+    EXPECT_EQ(count_primary_members(hub, start + 2s), 1U);
+    EXPECT_EQ(count_primary_members(hub, start + 2300ms), 0U);
+}
+
+// Guards against a daemon behind a network partition that takes the members on its side for the
+// whole fleet, and gives them all of every account's rate.
+TEST(registry, the_largest_recent_size_counts_for_30_s)
+{
+    known_size size;
+    EXPECT_EQ(largest_recent_size(size, 9, start), 9U);
+    EXPECT_EQ(largest_recent_size(size, 2, start + 30s), 9U);
+    EXPECT_EQ(largest_recent_size(size, 2, start + 31s), 2U);
+    EXPECT_EQ(largest_recent_size(size, 5, start + 32s), 5U);
+}
+
 } // namespace
 } // namespace zinniaferry::fleet
--- a/test/correctness/model/fleet_check_test.cpp
+++ b/test/correctness/model/fleet_check_test.cpp
@@ -37,9 +37,13 @@
     for (const injection injected : all_injections())
     {
         std::set<promise> found;
-        for (const violation& entry : run({.seed = 29, .injected = injected}).violations)
+        // Not every fault shows in the course of every seed.
+        for (const std::uint64_t seed : {29U, 31U})
         {
-            found.insert(entry.broken);
+            for (const violation& entry : run({.seed = seed, .injected = injected}).violations)
+            {
+                found.insert(entry.broken);
+            }
         }
         EXPECT_EQ(found, std::set<promise>{broken_promise(injected)}) << to_string(injected);
     }
