Give a server that turns cold during a selection a request only with a cold token

A load probe may show that a server is cold that was warm when it became a candidate. It now needs a token like any cold server.

The deliberate fault ignore_warmup skips the token as well, or the second check would hide it.

--- a/src/model/requests.cpp
+++ b/src/model/requests.cpp
@@ -234,14 +234,21 @@
     start_attempt(world, flow, server);
 }
 
+/// A server that was selected for a request.
+struct candidate
+{
+    routing::backend_pointer server;
+    bool selected_cold = false; ///< It was cold when it was selected.
+};
+
 // Applies the responses to the load probes of the candidates, and returns the best one or null.
 routing::backend_pointer best_of(world& world, const flow_pointer& flow,
-                                 const std::vector<routing::backend_pointer>& candidates)
+                                 const std::vector<candidate>& candidates)
 {
     const core::time_point now = world.queue.now;
     routing::backend_set& backends = process_of(world, flow).gateway->backends;
     routing::backend_pointer best;
-    for (const routing::backend_pointer& server : candidates)
+    for (const auto& [server, selected_cold] : candidates)
     {
         const auto load = load_of(world, server->listed.id);
         if (!load)
@@ -254,8 +261,11 @@
         const bool usable = routing::is_eligible(backends, *server, now) &&
                             routing::has_capacity(backends, *server, routing::queueing::late,
                                                   flow->route->objective, now);
-        if (usable && (!best || routing::expected_cost(backends, *server, now) <
-                                    routing::expected_cost(backends, *best, now)))
+        const bool is_best = !best || routing::expected_cost(backends, *server, now) <
+                                          routing::expected_cost(backends, *best, now);
+        if (usable && is_best &&
+            (world.injected == injection::ignore_warmup ||
+             routing::admit_candidate(backends, *server, selected_cold, now)))
         {
             best = server;
         }
@@ -291,9 +301,13 @@
     {
         forget_warmup(gateway.backends, world.queue.now);
     }
-    const auto candidates =
-        routing::select_candidates(gateway.backends, flow->service, flow->tried, probed_candidates,
-                                   world.queue.now, gateway.random);
+    std::vector<candidate> candidates;
+    for (const auto& server :
+         routing::select_candidates(gateway.backends, flow->service, flow->tried, probed_candidates,
+                                    world.queue.now, gateway.random))
+    {
+        candidates.push_back({server, server->state == routing::backend_state::cold});
+    }
     if (candidates.empty())
     {
         wait_for_server(world, flow);
--- a/src/net/backend_selection.cpp
+++ b/src/net/backend_selection.cpp
@@ -133,7 +133,8 @@
 asio::awaitable<void> probe_and_collect(gateway& gateway, std::shared_ptr<selection_probes> probes,
                                         routing::backend_pointer server)
 {
-    connected_backend probed{.server = server};
+    connected_backend probed{.server = server,
+                             .selected_cold = server->state == routing::backend_state::cold};
     probed.connection = co_await probe_candidate(gateway, server);
     --probes->pending;
     if (probed.connection && probes->decided)
@@ -236,7 +237,9 @@
         const bool has_capacity = routing::has_capacity(
             gateway.backends, *candidate.server, criteria.queueing, criteria.max_queue_time, now);
         if (!out.selected && has_capacity &&
-            routing::is_eligible(gateway.backends, *candidate.server, now))
+            routing::is_eligible(gateway.backends, *candidate.server, now) &&
+            routing::admit_candidate(gateway.backends, *candidate.server, candidate.selected_cold,
+                                     now))
         {
             out.selected = std::move(candidate);
         }
@@ -263,7 +266,9 @@
     {
         co_return backend_selection();
     }
-    connected_backend candidate{.server = list.front()};
+    connected_backend candidate{.server = list.front(),
+                                .selected_cold =
+                                    list.front()->state == routing::backend_state::cold};
     candidate.connection =
         gateway.backend_connections.take_idle(*candidate.server, now - max_unprobed_idle_time);
     if (!candidate.connection)
--- a/src/net/backend_selection.hpp
+++ b/src/net/backend_selection.hpp
@@ -18,6 +18,7 @@
 {
     routing::backend_pointer server;
     backend_connection_pointer connection;
+    bool selected_cold = false; ///< It was cold when it became a candidate.
 };
 
 /// What a request requires of a backend server.
--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -235,6 +235,13 @@
            (1.0 + 4.0 * error_rate(server, now)) * distance_factor;
 }
 
+bool admit_candidate(const backend_set& set, backend& server, bool selected_cold,
+                     core::time_point now)
+{
+    const bool turned_cold = server.state == backend_state::cold && !selected_cold;
+    return !turned_cold || take_cold_token(set, server, now);
+}
+
 std::vector<backend_pointer> select_candidates(backend_set& set, const std::string& service,
                                                std::span<const backend_pointer> excluded,
                                                std::size_t count, core::time_point now,
--- a/src/routing/candidates.hpp
+++ b/src/routing/candidates.hpp
@@ -66,4 +66,10 @@
 bool has_capacity(const backend_set& set, const backend& server, queueing accepted,
                   core::duration max_queue_time, core::time_point now);
 
+/// Returns whether a candidate may get the request that it was selected for. `selected_cold` is
+/// whether it was cold then, and has used its cold token. One that has turned cold since, as its
+/// load probe may show, needs a token now. Not thread safe.
+bool admit_candidate(const backend_set& set, backend& server, bool selected_cold,
+                     core::time_point now);
+
 } // namespace zinniaferry::routing
--- a/test/correctness/routing/backends_test.cpp
+++ b/test/correctness/routing/backends_test.cpp
@@ -314,5 +314,25 @@
         << "as many requests wait as the server has slots";
 }
 
+// Guards against a cold server that gets the requests of all daemons that selected it before its
+// load probe showed that it is cold.
+TEST(candidates, a_candidate_that_turns_cold_needs_a_cold_token)
+{
+    constexpr core::time_point start{1000s};
+    backend_set set;
+    set.options.own_name = "vm-1";
+    set.members = {"vm-1"};
+    set.service_states["orders"].warmup_rate = 2.0;
+    apply_listing(set, {.id = "s-1", .service = "orders", .address = "a"}, start);
+    backend& server = *set.by_id.at("s-1");
+    EXPECT_TRUE(admit_candidate(set, server, false, start)) << "warm";
+    on_load_reading(server, {.slots = 2, .received_at = start}, 3s);
+    ASSERT_EQ(server.state, backend_state::cold);
+    EXPECT_FALSE(admit_candidate(set, server, false, start));
+    EXPECT_TRUE(admit_candidate(set, server, true, start)) << "has used its token";
+    EXPECT_TRUE(admit_candidate(set, server, false, start + 2s)) << "has earned a token";
+    EXPECT_FALSE(admit_candidate(set, server, false, start + 2s));
+}
+
 } // namespace
 } // namespace zinniaferry::routing
