Log the longest possible delay of an update, and subscribers by a field of their own

The lines peers updates_late state delay_ms, which zinniactl explain reads. The lines peers subscribed and left wrote the subscriber into the field vm and so replaced the writer's name.

--- a/src/net/hub_links.cpp
+++ b/src/net/hub_links.cpp
@@ -116,7 +116,8 @@
     const std::string vm = subscriber_hello.self.vm;
     fleet::on_hello(registry_, subscriber_hello, core::boot_clock_now());
     report_fleet_view();
-    log_.write("peers", "subscribed", {{"vm", vm}, {"revision", subscriber_hello.revision}});
+    log_.write("peers", "subscribed",
+               {{"subscriber", vm}, {"revision", subscriber_hello.revision}});
     subscribers_.insert(subscriber);
     // A subscriber whose revision differs from that of the replica gets a snapshot, with the values
     // of the entries that it lacks.
@@ -149,7 +150,7 @@
     subscribers_.erase(subscriber);
     fleet::on_unsubscribed(registry_, vm, subscriber_hello.incarnation, core::boot_clock_now());
     report_fleet_view();
-    log_.write("peers", "left", {{"vm", vm}});
+    log_.write("peers", "left", {{"subscriber", vm}});
 }
 
 void hub_links::answer_grant_request(link& subscriber, const fleet::ask_message& request)
@@ -383,7 +384,7 @@
     {
         log_.write("peers", is_late ? "updates_late" : "updates_in_time",
                    {{"address", address},
-                    {"sent_ms_ago_at_most", core::to_milliseconds(now - sent_after)},
+                    {"delay_ms", core::to_milliseconds(now - sent_after)},
                     {"hub_age_ms", core::to_milliseconds(update.age)}});
     }
     hub.is_late = is_late;
