--- a/src/fleet/hub_choice.cpp
+++ b/src/fleet/hub_choice.cpp
@@ -14,8 +14,6 @@
 constexpr std::size_t wanted_hub_count = 2;
 /// Limit on connected candidates while fewer than `wanted_hub_count` are current.
 constexpr std::size_t max_connected_hubs = 4;
-/// A hub sends several messages in this time, so one that sends none has failed.
-constexpr core::duration hub_silence_timeout = std::chrono::milliseconds(1300);
 /// Changes must be in force on all daemons within about two seconds of being made.
 constexpr core::duration max_hub_staleness = std::chrono::milliseconds(1800);
 /// Time after the start in which hubs may send their first update. A hub that is up answers within
--- a/src/fleet/hub_choice.hpp
+++ b/src/fleet/hub_choice.hpp
@@ -19,6 +19,10 @@
 namespace zinniaferry::fleet
 {
 
+/// A hub and its subscribers send each other several messages in this time. One that sends none has
+/// failed, and a subscriber that hears none has chosen another hub.
+inline constexpr core::duration hub_silence_timeout = std::chrono::milliseconds(1300);
+
 /// A daemon that may serve this one as a hub.
 struct hub_candidate
 {
--- a/src/fleet/registry.cpp
+++ b/src/fleet/registry.cpp
@@ -1,5 +1,7 @@
 #include "fleet/registry.hpp"
 
+#include "fleet/hub_choice.hpp"
+
 #include <algorithm>
 
 namespace zinniaferry::fleet
@@ -13,8 +15,8 @@
 /// All members subscribe to a new hub within this time.
 constexpr core::duration discovery_time = std::chrono::seconds(3);
 
-/// As hub_choice.cpp's hub_silence_timeout: after it a member has another primary hub.
-constexpr core::duration primary_silence_timeout = std::chrono::milliseconds(1300);
+/// Lower bound on the fleet's size while some members may not have subscribed yet.
+constexpr std::size_t min_assumed_members = 20;
 
 /// A member that no hub has reported for longer has left the fleet.
 constexpr core::duration member_cache_lifetime = std::chrono::seconds(5);
@@ -127,12 +129,10 @@
 
 std::size_t count_primary_members(const registry& registry, core::time_point now)
 {
-    return static_cast<std::size_t>(std::count_if(registry.members.begin(), registry.members.end(),
-                                                  [&](const auto& entry) {
-                                                      return entry.second.primary &&
-                                                             now - entry.second.last_heard <
-                                                                 primary_silence_timeout;
-                                                  }));
+    return static_cast<std::size_t>(std::count_if(
+        registry.members.begin(), registry.members.end(),
+        [&](const auto& entry)
+        { return entry.second.primary && now - entry.second.last_heard < hub_silence_timeout; }));
 }
 
 std::size_t largest_recent_size(known_size& size, std::size_t known, core::time_point now)
@@ -144,4 +144,23 @@
     return size.largest;
 }
 
+size_estimate estimate_fleet_size(known_size& recent, const fleet_message& own,
+                                  const std::vector<const fleet_message*>& hubs,
+                                  core::time_point now)
+{
+    std::size_t known = own.members_known;
+    bool all_settled = own.settled;
+    bool any_settled = own.settled;
+    for (const fleet_message* hub : hubs)
+    {
+        const bool has_reported = hub->members_known > 0;
+        known = std::max<std::size_t>(known, hub->members_known);
+        all_settled = all_settled && (!has_reported || hub->settled);
+        any_settled = any_settled || (has_reported && hub->settled);
+    }
+    known = largest_recent_size(recent, known, now);
+    return {.members_known = all_settled ? known : std::max(known, min_assumed_members),
+            .is_known = any_settled};
+}
+
 } // namespace zinniaferry::fleet
--- a/src/fleet/registry.hpp
+++ b/src/fleet/registry.hpp
@@ -84,4 +84,17 @@
 /// Records a number of known members. Returns the largest one of the last 30 s. Not thread safe.
 std::size_t largest_recent_size(known_size& size, std::size_t known, core::time_point now);
 
+/// The size of the fleet, as far as it is known.
+struct size_estimate
+{
+    std::size_t members_known = 1; ///< Includes those that disconnected recently.
+    bool is_known = false; ///< This daemon or a hub has run long enough to know every member.
+};
+
+/// Combines this daemon's own fleet message with the last one of each hub that it is connected to;
+/// a hub that has not reported has no known members. Not thread safe.
+size_estimate estimate_fleet_size(known_size& recent, const fleet_message& own,
+                                  const std::vector<const fleet_message*>& hubs,
+                                  core::time_point now);
+
 } // namespace zinniaferry::fleet
--- a/src/net/hub_links.cpp
+++ b/src/net/hub_links.cpp
@@ -30,8 +30,6 @@
 constexpr core::duration connect_timeout = std::chrono::milliseconds(400);
 /// An update that may have been on its way for longer is logged.
 constexpr core::duration late_update_time = std::chrono::milliseconds(1000);
-/// Lower bound on the fleet's size while some members may not have subscribed yet.
-constexpr std::size_t min_assumed_members = 20;
 
 } // namespace
 
@@ -439,32 +437,28 @@
     const core::time_point now = core::boot_clock_now();
     const fleet::fleet_message own = fleet::make_fleet_message(registry_, now);
     fleet::record_members(member_cache_, own.members, now);
-    std::size_t known = own.members_known;
-    bool all_settled = own.settled;
-    bool any_settled = own.settled;
+    std::vector<const fleet::fleet_message*> hub_messages;
     double fleet_selection_rate = primary_hub_ == choice_.own_address ? own.selection_rate : 0.0;
     for (const auto& [address, hub] : hubs_)
     {
-        const bool has_reported = hub->last_fleet.members_known > 0;
-        known = std::max<std::size_t>(known, hub->last_fleet.members_known);
-        all_settled = all_settled && (!has_reported || hub->last_fleet.settled);
-        any_settled = any_settled || (has_reported && hub->last_fleet.settled);
+        hub_messages.push_back(&hub->last_fleet);
         if (address == primary_hub_)
         {
             fleet_selection_rate = hub->last_fleet.selection_rate;
         }
         fleet::record_members(member_cache_, hub->members, now);
     }
-    known = fleet::largest_recent_size(known_size_, known, now);
+    const fleet::size_estimate size =
+        fleet::estimate_fleet_size(known_size_, own, hub_messages, now);
     fleet_view view;
     view.members = fleet::recent_members(member_cache_, now);
-    view.members_known = all_settled ? known : std::max(known, min_assumed_members);
+    view.members_known = size.members_known;
     view.primary_members = fleet::count_primary_members(registry_, now) +
                            (primary_hub_ == choice_.own_address ? 1 : 0);
     view.hub_reachable = primary_hub_.has_value();
     view.own_selection_rate = registry_.own_selection_rate;
     view.fleet_selection_rate = fleet_selection_rate;
-    view.is_size_known = any_settled;
+    view.is_size_known = size.is_known;
     callbacks_.on_fleet_view(view);
 }
 
