Don't take a late copy of a response for that of a load probe or another request

Cause: a load probe took the next response on its connection for its own, whatever it belonged to. A server that sent a second copy of its last response while the probe waited left the probe's own response to the next request: that caller got an empty 200 on the product's own interface, and a 502 on the platform's, where the missing signature gave it away. Besides, on the platform a response without a request id decided a request: 421, 503 'not run' and 500 were believed.

Ruled out: a copy in the same read as the probe's response (the connection is not used again), a copy while a request waits (skipped by its id), one that arrives between two requests (seen before use).

--- a/src/net/backend_connection_pool.cpp
+++ b/src/net/backend_connection_pool.cpp
@@ -178,6 +178,12 @@
         co_return out;
     }
     const http_response response = parser.release();
+    // A response with a request id belongs to an earlier request on this connection, and the
+    // probe's own response would be taken for that to the next request.
+    if (!header_value(response.base(), profile_.request_id_header).empty())
+    {
+        co_return out;
+    }
     record_response(*connection, response);
     out.answered = true;
     out.healthy = response.result_int() == 200;
@@ -212,6 +218,14 @@
 exchange_outcome backend_connection_pool::classify(const http_request& request,
                                                    const http_response& response) const
 {
+    const std::string_view echoed_id = header_value(response.base(), profile_.request_id_header);
+    const bool id_matches = echoed_id == header_value(request.base(), profile_.request_id_header) ||
+                            (echoed_id.empty() && profile_.signature_header.empty());
+    // Whatever the response states, it may be about another request.
+    if (!id_matches)
+    {
+        return exchange_outcome::malformed;
+    }
     if (response.result() == http::status::misdirected_request)
     {
         return exchange_outcome::wrong_server;
@@ -222,14 +236,11 @@
         return exchange_outcome::not_run;
     }
     const bool success = response.result_int() >= 200 && response.result_int() < 300;
-    const std::string_view echoed_id = header_value(response.base(), profile_.request_id_header);
-    const bool id_matches = echoed_id == header_value(request.base(), profile_.request_id_header) ||
-                            (echoed_id.empty() && profile_.signature_header.empty());
     const bool signed_by_server = profile_.signature_header.empty() ||
                                   !header_value(response.base(), profile_.signature_header).empty();
     const bool encoded = !header_value(response.base(), "Content-Encoding").empty();
-    return success && (!id_matches || !signed_by_server || encoded) ? exchange_outcome::malformed
-                                                                    : exchange_outcome::answered;
+    return success && (!signed_by_server || encoded) ? exchange_outcome::malformed
+                                                     : exchange_outcome::answered;
 }
 
 asio::awaitable<exchange_result>
--- a/test/support/front_end.hpp
+++ b/test/support/front_end.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -34,8 +35,16 @@
 class raw_server
 {
 public:
+    /// Returns the bytes to send in response to a request.
+    using responder = std::function<std::string(const std::string& request)>;
+
     explicit raw_server(std::string response, bool close_after = false)
-        : response_(std::move(response)), close_after_(close_after),
+        : raw_server([response = std::move(response)](const std::string&) { return response; },
+                     close_after)
+    {
+    }
+    explicit raw_server(responder respond, bool close_after = false)
+        : respond_(std::move(respond)), close_after_(close_after),
           acceptor_(io_, {asio::ip::make_address("127.0.0.1"), 0})
     {
         accept();
@@ -58,6 +67,11 @@
     /// request has been sent to this server yet.
     void on_health_check(std::function<void()> action) { on_health_check_ = std::move(action); }
 
+    /// Sends a second copy of the last response on a connection some milliseconds before the
+    /// response to the next health check on it. Precondition: no request has been sent to this
+    /// server yet.
+    void send_late_copies() { sends_late_copies_ = true; }
+
     /// Returns the requests received so far on all connections, without health checks. Thread safe.
     std::string received()
     {
@@ -82,6 +96,7 @@
     asio::awaitable<void> serve(asio::ip::tcp::socket socket)
     {
         std::string pending;
+        std::string late_copy;
         std::array<char, 4096> chunk;
         while (true)
         {
@@ -96,16 +111,29 @@
             {
                 pending.clear();
                 on_health_check_();
+                if (!late_copy.empty())
+                {
+                    co_await asio::async_write(socket, asio::buffer(late_copy),
+                                               asio::use_awaitable);
+                    late_copy.clear();
+                    asio::steady_timer pause(io_, std::chrono::milliseconds(10));
+                    co_await pause.async_wait(asio::use_awaitable);
+                }
                 co_await asio::async_write(socket, asio::buffer(health_response_),
                                            asio::use_awaitable);
                 continue;
             }
+            const std::string response = respond_(pending);
+            if (sends_late_copies_)
+            {
+                late_copy = response;
+            }
             {
                 const std::lock_guard lock(mutex_);
                 received_ += pending;
             }
             pending.clear();
-            co_await asio::async_write(socket, asio::buffer(response_), asio::use_awaitable);
+            co_await asio::async_write(socket, asio::buffer(response), asio::use_awaitable);
             if (close_after_)
             {
                 co_return;
@@ -115,8 +143,9 @@
 
     const std::string health_response_ =
         "HTTP/1.1 200 OK\r\n" + std::string(healthy_load_header) + "Content-Length: 0\r\n\r\n";
-    std::string response_;
+    responder respond_;
     bool close_after_;
+    bool sends_late_copies_ = false;
     std::function<void()> on_health_check_ = [] {
     };
     asio::io_context io_;
