Compare four servers in a selection while probes are saved up

Cause: a quarter of the servers work slowly at any moment, and one in two servers of a busy service is full, so the better of two is often bad.

--- a/src/limits/probe_budget.cpp
+++ b/src/limits/probe_budget.cpp
@@ -17,6 +17,8 @@
 constexpr core::duration max_saved_time = std::chrono::seconds(10);
 /// A daemon starts with the probes of this time.
 constexpr core::duration initial_time = std::chrono::seconds(1);
+/// With the probes of this time saved up, a selection probes many servers.
+constexpr core::duration wide_plan_time = std::chrono::seconds(3);
 /// Below the probes of this time, servers are probed one at a time.
 constexpr core::duration full_plan_time = std::chrono::seconds(1);
 /// Below the probes of this time, a selection sends a single probe.
@@ -58,6 +60,10 @@
 probe_plan plan_probes(probe_budget& budget, core::time_point now)
 {
     refill(budget, now);
+    if (has_tokens(budget, 8.0, wide_plan_time))
+    {
+        return {.per_round = 4, .rounds = 2};
+    }
     if (has_tokens(budget, 4.0, full_plan_time))
     {
         return {.per_round = 2, .rounds = 2};
--- a/src/limits/probe_budget.hpp
+++ b/src/limits/probe_budget.hpp
@@ -39,8 +39,8 @@
 /// While the latter is 0, all `members` have equal shares.
 double probe_share(double own_rate, double fleet_rate, std::size_t members);
 
-/// Returns the probes that a selection may send. With fewer probes left, servers are probed one at
-/// a time, then only one, then none.
+/// Returns the probes that a selection may send. With fewer probes left, fewer servers are probed
+/// at once, then one at a time, then only one, then none.
 probe_plan plan_probes(probe_budget& budget, core::time_point now);
 
 /// Returns whether a trial probe of a suspect server may be sent.
