Serve requests that can be in time first while a service is busy

Refused callers came back after 100 ms each and took the next free slots, as late as they were. Hedges took a sixth of the arrivals.

Change, in src/admission, with time and random numbers as parameters: a request that can be in time gets a free slot or a queue that leaves it in time, and waits for one as long as that holds; one that is late in any case gets spare capacity or is refused at once; so does a hedge. What a caller states as its time left, against what first attempts state in calm times, tells how long ago it first asked.

First try: the most frequent stated deadline as the usual one; first attempts state 0.85 to 1 of it at random, so nothing was recognised.

backends_test: the kind of queueing 'late' is gone, and with it the lines that demanded it; the bound of 'in_time' is stricter, and 'spare' has a test of its own.

--- /dev/null
+++ b/src/admission/placement.cpp
@@ -0,0 +1,44 @@
+#include "admission/placement.hpp"
+
+namespace zinniaferry::admission
+{
+
+namespace
+{
+
+/// Fraction of the objective during which a request of a route whose responses are all late waits
+/// for a server.
+constexpr double late_wait_fraction = 0.3;
+
+bool may_wait_late(const waiting_request& request)
+{
+    return core::to_seconds(request.since_arrival) <
+           core::to_seconds(request.objective) * late_wait_fraction;
+}
+
+} // namespace
+
+placement place(const waiting_request& request)
+{
+    const core::duration spare_time =
+        request.objective - request.response_transit - request.usual_latency;
+    if (spare_time < core::duration::zero())
+    {
+        // No request of the route is in time, so there is none to reserve a slot for.
+        return {.accepted = routing::queueing::none, .waits = may_wait_late(request)};
+    }
+    const core::duration max_queue_time = spare_time - request.since_first_attempt;
+    if (max_queue_time < core::duration::zero())
+    {
+        return {.accepted = routing::queueing::spare};
+    }
+    return {
+        .accepted = routing::queueing::in_time, .max_queue_time = max_queue_time, .waits = true};
+}
+
+placement place_hedge()
+{
+    return {.accepted = routing::queueing::spare};
+}
+
+} // namespace zinniaferry::admission
--- /dev/null
+++ b/src/admission/placement.hpp
@@ -0,0 +1,40 @@
+/// Decides which servers a request may be sent to while its service is busy, and whether it waits
+/// for one. Requests that can still be in time come first: a response that is late in any case is
+/// worth less, and the work for it makes others late.
+///
+/// Load pattern: a burst above the service's capacity. If every request takes a place in a queue,
+/// each waits for the work of those before it, and all responses are late.
+#pragma once
+
+#include "core/time.hpp"
+#include "routing/candidates.hpp"
+
+namespace zinniaferry::admission
+{
+
+/// What is known of a request that needs a server.
+struct waiting_request
+{
+    core::duration since_arrival{};       ///< At this daemon.
+    core::duration since_first_attempt{}; ///< Of its caller; at least `since_arrival`.
+    core::duration objective{};           ///< Latency that the caller expects.
+    core::duration usual_latency{};       ///< From sending to the response; zero if not known.
+    core::duration response_transit{};    ///< From the daemon to the caller.
+};
+
+/// Which servers a request may be sent to now.
+struct placement
+{
+    routing::queueing accepted = routing::queueing::in_time;
+    core::duration max_queue_time{}; ///< Time in a server's queue with which it is in time.
+    bool waits = false; ///< If no server is acceptable now, another selection may find one.
+};
+
+/// Returns the placement of a request that is not at a server. Thread safe.
+placement place(const waiting_request& request);
+
+/// Returns the placement of a hedge, for which no response is lost if no server is found: it must
+/// not take a place that another request needs. Thread safe.
+placement place_hedge();
+
+} // namespace zinniaferry::admission
--- a/src/model/requests.cpp
+++ b/src/model/requests.cpp
@@ -259,7 +259,7 @@
         }
         routing::on_load_reading(*server, *load, warmup_left(world, server->listed.id));
         const bool usable = routing::is_eligible(backends, *server, now) &&
-                            routing::has_capacity(backends, *server, routing::queueing::late,
+                            routing::has_capacity(backends, *server, routing::queueing::in_time,
                                                   flow->route->objective, now);
         const bool is_best = !best || routing::expected_cost(backends, *server, now) <
                                           routing::expected_cost(backends, *best, now);
--- a/src/net/backend_selection.hpp
+++ b/src/net/backend_selection.hpp
@@ -27,7 +27,7 @@
     std::string service; ///< Name of the service whose servers are candidates.
     std::span<const routing::backend_pointer> excluded; ///< Servers already tried for the request.
     core::time_point deadline;                          ///< Latest end of the selection.
-    routing::queueing queueing = routing::queueing::late;
+    routing::queueing queueing = routing::queueing::in_time;
     core::duration max_queue_time{}; ///< Time that the request may queue at the server.
 };
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -116,7 +116,7 @@
     gateway.configured_servers = std::move(listed);
 }
 
-// Erases the latency statistics of routes that are not in the configuration.
+// Erases the statistics of routes that are not in the configuration.
 void erase_dropped_routes(gateway& gateway, const config::configuration& config)
 {
     std::unordered_set<std::string> routes;
@@ -124,7 +124,7 @@
     {
         routes.insert(route.host + route.prefix);
     }
-    std::erase_if(gateway.route_latencies,
+    std::erase_if(gateway.route_statistics_by_name,
                   [&](const auto& entry) { return !routes.contains(entry.first); });
 }
 
@@ -323,16 +323,15 @@
     gateway.backend_connections.close_stale(gateway.backends, now);
 }
 
-std::shared_ptr<routing::route_latency> route_latency_of(gateway& gateway,
-                                                         const config::route& route)
+std::shared_ptr<route_statistics> statistics_of(gateway& gateway, const config::route& route)
 {
-    std::shared_ptr<routing::route_latency>& latency =
-        gateway.route_latencies[route.host + route.prefix];
-    if (!latency)
+    std::shared_ptr<route_statistics>& statistics =
+        gateway.route_statistics_by_name[route.host + route.prefix];
+    if (!statistics)
     {
-        latency = std::make_shared<routing::route_latency>();
+        statistics = std::make_shared<route_statistics>();
     }
-    return latency;
+    return statistics;
 }
 
 asio::awaitable<probe_result> send_probe(gateway& gateway, const routing::backend& server,
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -2,6 +2,8 @@
 /// rate limiting, and the connections to backend servers.
 #pragma once
 
+#include "admission/overload.hpp"
+#include "admission/stated_deadlines.hpp"
 #include "config/index.hpp"
 #include "limits/account_pools.hpp"
 #include "limits/probe_budget.hpp"
@@ -43,6 +45,13 @@
     std::array<std::uint64_t, request::refusal_reason_count> refused{};
 };
 
+/// What this daemon has learned from the requests of a route.
+struct route_statistics
+{
+    routing::route_latency latency;
+    admission::stated_deadlines deadlines;
+};
+
 /// Thread safety: the io_context's thread only; this holds for all functions of this header.
 struct gateway
 {
@@ -76,7 +85,8 @@
     request_durations durations;
     gateway_counters counters;
     /// By host and prefix. Requests in progress share ownership of those of a dropped route.
-    std::unordered_map<std::string, std::shared_ptr<routing::route_latency>> route_latencies;
+    std::unordered_map<std::string, std::shared_ptr<route_statistics>> route_statistics_by_name;
+    std::unordered_map<std::string, admission::overload> overloads; ///< By service.
     std::unordered_set<std::string> configured_servers; ///< Ids of the configuration's servers.
     std::size_t requests_in_progress = 0;
     bool close_after_response = false; ///< Close callers' connections after the current response.
@@ -125,9 +135,8 @@
 /// passed, and closes stale connections to backend servers. To be called periodically.
 void maintain(gateway& gateway, core::time_point now);
 
-/// Returns the latency statistics of the route, creating them on the route's first request.
-std::shared_ptr<routing::route_latency> route_latency_of(gateway& gateway,
-                                                         const config::route& route);
+/// Returns the statistics of the route, creating them on the route's first request.
+std::shared_ptr<route_statistics> statistics_of(gateway& gateway, const config::route& route);
 
 /// Sends a probe on the server's connection, and takes it from the probe budget.
 asio::awaitable<probe_result> send_probe(gateway& gateway, const routing::backend& server,
--- a/src/net/request_handler.cpp
+++ b/src/net/request_handler.cpp
@@ -25,18 +25,14 @@
 constexpr core::duration default_time_left = std::chrono::seconds(10);
 /// Retry-After of refusals while the daemon stops or no server can take the request.
 constexpr core::duration busy_retry_after = std::chrono::milliseconds(100);
+/// Retry-After when servers with free slots rejected the request: another attempt may succeed at
+/// once.
+constexpr core::duration rejected_retry_after = std::chrono::milliseconds(20);
 /// Retry-After of refusals before the first configuration.
 constexpr core::duration no_configuration_retry_after = std::chrono::milliseconds(250);
-/// Fraction of the route's latency objective during which a request waits for a suitable server.
-constexpr double selection_objective_fraction = 0.1;
 /// Delay between two server selections. Each selection probes servers, which costs them time.
 constexpr core::duration selection_interval = std::chrono::milliseconds(30);
 
-core::duration fraction_of(core::duration total, double fraction)
-{
-    return core::from_seconds(core::to_seconds(total) * fraction);
-}
-
 } // namespace
 
 request_handler::request_handler(gateway& gateway, const http_request& message,
@@ -98,6 +94,12 @@
         std::max(description_.time_left.value_or(default_time_left) - response_transit_time,
                  core::duration());
     deadline_ = arrived_ + std::min(time_left, route_->timeout);
+    first_asked_at_ = arrived_;
+    if (description_.time_left)
+    {
+        first_asked_at_ -=
+            admission::time_since_first_attempt(statistics_->deadlines, *description_.time_left);
+    }
     const bool is_limited = limits::is_limited(gateway_.accounts, account_);
     const limits::grant granted = co_await net::acquire_grant(gateway_, account_);
     grant_source_ = is_limited ? std::optional(granted.source) : std::nullopt;
@@ -109,6 +111,11 @@
     // of capacity: the request is refused rather than moved to another service.
     service_ = config::select_service(*route_, core::uniform(gateway_.random));
     progress_ = {.idempotent = route_->idempotent, .max_runs = route_->attempts};
+    if (description_.time_left &&
+        !admission::is_overloaded(gateway_.overloads[service_], core::boot_clock_now()))
+    {
+        admission::record(statistics_->deadlines, *description_.time_left);
+    }
     limits::on_first_attempt(gateway_.retry_budget, service_);
     co_return std::nullopt;
 }
@@ -137,7 +144,7 @@
     }
     configuration_ = current;
     route_ = route;
-    route_latency_ = route_latency_of(gateway_, *route);
+    statistics_ = statistics_of(gateway_, *route);
     account_ = account == nullptr ? std::string() : account->name;
     return std::nullopt;
 }
@@ -158,7 +165,8 @@
         }
         if (may_send_now(now))
         {
-            const bool sent = co_await send_to_next_backend();
+            const admission::placement placement = current_placement();
+            const bool sent = co_await send_to_next_backend(placement);
             if (configuration_refusal_)
             {
                 limits::refund(gateway_.accounts, account_, core::boot_clock_now());
@@ -169,8 +177,7 @@
                 continue;
             }
             const core::time_point selected_at = core::boot_clock_now();
-            const bool should_give_up =
-                selected_at >= in_time_selection_end() || service_pause(selected_at);
+            const bool should_give_up = !placement.waits || service_pause(selected_at);
             if (open_attempt_count() == 0 && should_give_up)
             {
                 co_return give_up(selected_at);
@@ -183,23 +190,18 @@
     co_return http_response();
 }
 
-// Until this time the request waits for a server that can respond in time. If all servers would
-// respond late, it is then sent to one of them or refused.
-core::time_point request_handler::in_time_selection_end() const
-{
-    return arrived_ + fraction_of(route_->objective, selection_objective_fraction);
-}
-
-// A hedge is worth its cost only at a server with a free slot. Any other attempt requires a server
-// that can respond in time until in_time_selection_end(), and accepts a late response after that.
-routing::queueing request_handler::accepted_queueing() const
+admission::placement request_handler::current_placement() const
 {
     if (open_attempt_count() > 0)
     {
-        return routing::queueing::none;
+        return admission::place_hedge();
     }
-    return core::boot_clock_now() < in_time_selection_end() ? routing::queueing::in_time
-                                                            : routing::queueing::late;
+    const core::time_point now = core::boot_clock_now();
+    return admission::place({.since_arrival = now - arrived_,
+                             .since_first_attempt = now - first_asked_at_,
+                             .objective = route_->objective,
+                             .usual_latency = statistics_->latency.median,
+                             .response_transit = response_transit_time});
 }
 
 // How long the servers that the request has not been sent to take nothing; nothing if one may.
@@ -208,13 +210,6 @@
     return routing::service_pause(gateway_.backends, service_, tried_servers_, now);
 }
 
-// Time that the request may queue at a server and still meet the route's latency objective.
-core::duration request_handler::max_queue_time() const
-{
-    return arrived_ + route_->objective - response_transit_time - route_latency_->median -
-           core::boot_clock_now();
-}
-
 std::size_t request_handler::open_attempt_count() const
 {
     return static_cast<std::size_t>(std::count_if(
@@ -233,7 +228,7 @@
                                 .sent_at = attempts_.back()->sent_at,
                                 .objective = route_->objective,
                                 .one_way_delay = response_transit_time,
-                                .usual_latency = route_latency_->median});
+                                .usual_latency = statistics_->latency.median});
 }
 
 bool request_handler::may_send_now(core::time_point now) const
@@ -248,14 +243,14 @@
     return hedge_at && now >= *hedge_at && limits::has_retry(gateway_.retry_budget, service_);
 }
 
-asio::awaitable<bool> request_handler::send_to_next_backend()
+asio::awaitable<bool> request_handler::send_to_next_backend(const admission::placement& placement)
 {
     // A named object: GCC 12 destroys aggregate temporaries of a co_await expression twice.
     const selection_criteria criteria = {.service = service_,
                                          .excluded = tried_servers_,
                                          .deadline = deadline_,
-                                         .queueing = accepted_queueing(),
-                                         .max_queue_time = max_queue_time()};
+                                         .queueing = placement.accepted,
+                                         .max_queue_time = placement.max_queue_time};
     const backend_selection selection = co_await select_backend(gateway_, criteria);
     if (!selection.selected)
     {
@@ -355,7 +350,8 @@
         routing::on_released(server);
         gateway_.backend_connections.put_back(server, attempt.target.connection);
         request::apply(progress_, progress_event::server_refused);
-        servers_full_ = true;
+        record_reported_load(attempt, gateway_.profile, now);
+        servers_full_ = routing::is_full(server, now);
         return std::nullopt;
     case exchange_outcome::wrong_server:
         routing::on_failed(server, routing::failure_kind::wrong_server, now);
@@ -378,8 +374,8 @@
     gateway_.backend_connections.put_back(server, attempt.target.connection);
     if (attempt.result.response->result_int() < 500)
     {
-        routing::on_response(gateway_.backends, server, latency, route_latency_->median, now);
-        routing::record_latency(*route_latency_, latency);
+        routing::on_response(gateway_.backends, server, latency, statistics_->latency.median, now);
+        routing::record_latency(statistics_->latency, latency);
         request::apply(progress_, progress_event::answer);
         return std::move(attempt.result.response);
     }
@@ -417,13 +413,25 @@
         const auto reason = servers_full_ ? refusal_reason::overloaded
                             : is_late     ? refusal_reason::expired
                                           : refusal_reason::no_server;
-        return refuse({reason, busy_retry_after});
+        return refuse({reason, capacity_retry_after(now)});
     }
     return refuse({.reason = now >= deadline_
                                  ? refusal_reason::deadline
                                  : last_failure_reason_.value_or(refusal_reason::server_lost)});
 }
 
+// When the caller of a request that no server ran is to return.
+core::duration request_handler::capacity_retry_after(core::time_point now)
+{
+    if (servers_full_)
+    {
+        admission::overload& overload = gateway_.overloads[service_];
+        admission::on_refused(overload, now);
+        return admission::retry_after(overload, now, gateway_.random);
+    }
+    return progress_.refusals > 0 ? rejected_retry_after : busy_retry_after;
+}
+
 asio::awaitable<void> request_handler::wait_until(core::time_point at)
 {
     if (!notified_)
@@ -492,6 +500,7 @@
                           .account = account_,
                           .grant_source = grant_source_,
                           .service = service_,
+                          .since_first_attempt = arrived_ - first_asked_at_,
                           .duration = core::boot_clock_now() - arrived_,
                           .attempts = std::move(attempt_log_)}));
 }
--- a/src/net/request_handler.hpp
+++ b/src/net/request_handler.hpp
@@ -3,6 +3,7 @@
 /// the caller.
 #pragma once
 
+#include "admission/placement.hpp"
 #include "net/gateway.hpp"
 #include "net/request_attempt.hpp"
 #include "request/progress.hpp"
@@ -40,7 +41,7 @@
     /// Sends the request to backend servers until one responds or no further attempt is allowed.
     asio::awaitable<http_response> forward();
     /// Returns whether an attempt was started.
-    asio::awaitable<bool> send_to_next_backend();
+    asio::awaitable<bool> send_to_next_backend(const admission::placement& placement);
     void start_attempt(backend_selection selection);
     static asio::awaitable<void> run_attempt(std::shared_ptr<request_handler> handler,
                                              std::shared_ptr<request_attempt> attempt,
@@ -53,9 +54,7 @@
     void settle_failure(request_attempt& attempt, core::time_point now);
     /// Returns the number of attempts whose result has not been evaluated.
     std::size_t open_attempt_count() const;
-    core::time_point in_time_selection_end() const;
-    routing::queueing accepted_queueing() const;
-    core::duration max_queue_time() const;
+    admission::placement current_placement() const;
     std::optional<core::duration> service_pause(core::time_point now) const;
     std::optional<core::time_point> hedge_time() const;
     bool may_send_now(core::time_point now) const;
@@ -65,6 +64,7 @@
     void cancel_attempts();
     /// Returns the response for a request that no server has responded to successfully.
     http_response give_up(core::time_point now);
+    core::duration capacity_retry_after(core::time_point now);
     http_response refuse(const request::refusal& refusal);
     http_response finish_with_response(http_response response);
     void log_outcome(std::string_view outcome, unsigned status);
@@ -74,14 +74,15 @@
     request_description description_;
     std::shared_ptr<const config::configuration_index> configuration_; ///< Owns `route_`.
     const config::route* route_ = nullptr;
-    std::shared_ptr<routing::route_latency> route_latency_;
+    std::shared_ptr<route_statistics> statistics_;
     std::string account_;
     std::uint64_t decided_by_version_ = 0; ///< Configuration that was looked up last; 0 for none.
     /// What decided on the account's rate; nothing if no limit applies or none was looked up.
     std::optional<limits::grant_source> grant_source_;
     std::string service_;
     core::time_point arrived_;
-    core::time_point deadline_; ///< The response must have left the daemon by then.
+    core::time_point first_asked_at_; ///< When the caller made its first attempt, if that is known.
+    core::time_point deadline_;       ///< The response must have left the daemon by then.
     asio::steady_timer wake_timer_;
     bool notified_ = false;    ///< notify() was called and no wait_until() has returned since.
     bool caller_gone_ = false; ///< The caller has disconnected.
--- a/src/net/request_log.cpp
+++ b/src/net/request_log.cpp
@@ -23,6 +23,7 @@
         {"configuration_age_ms", core::to_milliseconds(outcome.configuration_age)},
         {"account", outcome.account},
         {"service", outcome.service},
+        {"since_first_attempt_ms", core::to_milliseconds(outcome.since_first_attempt)},
         {"ms", core::to_milliseconds(outcome.duration)}};
     if (!outcome.path.empty())
     {
--- a/src/net/request_log.hpp
+++ b/src/net/request_log.hpp
@@ -25,8 +25,10 @@
     std::string_view account;           ///< Empty if none was determined.
     std::optional<limits::grant_source> grant_source; ///< What decided on the account's rate.
     std::string_view service;                         ///< Empty if none was selected.
-    core::duration duration{};                        ///< Since the request arrived.
-    boost::json::array attempts;                      ///< From describe_attempt.
+    /// Of the caller, at the request's arrival; zero if this seems to be the first one.
+    core::duration since_first_attempt{};
+    core::duration duration{};   ///< Since the request arrived.
+    boost::json::array attempts; ///< From describe_attempt.
 };
 
 /// Returns the fields of the log line. Thread safe.
--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -27,6 +27,9 @@
 /// When callers of a service whose servers all leave are to retry: a new server is usually listed
 /// by then.
 constexpr core::duration leaving_service_pause = std::chrono::seconds(1);
+/// Factor on the expected time in a server's queue: the work ahead of a request takes longer as
+/// often as shorter, and a queue must not make the response late.
+constexpr double queue_time_margin = 1.5;
 /// Members of the fleet that send to one cold server.
 constexpr std::size_t senders_per_cold_server = 2;
 
@@ -193,23 +196,27 @@
 bool has_capacity(const backend_set& set, const backend& server, queueing accepted,
                   core::duration max_queue_time, core::time_point now)
 {
-    if (!is_full(server, now))
+    if (!is_fresh(server, now))
     {
         return true;
     }
     const load_reading& reading = *server.reading;
     const std::uint32_t slots = std::max(1U, reading.slots);
     const std::uint32_t requests_at_server = reading.running + reading.waiting;
+    if (requests_at_server < slots)
+    {
+        const bool is_last_slot = requests_at_server + 1 == slots;
+        return accepted != queueing::spare || !is_last_slot || requests_at_server == 0;
+    }
     const std::uint32_t waiting = requests_at_server - slots;
-    if (accepted == queueing::none || waiting >= slots)
+    if (accepted != queueing::in_time || waiting >= slots)
     {
         return false;
     }
     const double latency = service_latency(set, server);
     const double expected_wait =
         latency * static_cast<double>(waiting + 1) / static_cast<double>(slots);
-    const bool in_time = expected_wait <= core::to_seconds(max_queue_time);
-    return in_time || accepted == queueing::late;
+    return expected_wait * queue_time_margin <= core::to_seconds(max_queue_time);
 }
 
 double expected_cost(const backend_set& set, const backend& server, core::time_point now)
--- a/src/routing/candidates.hpp
+++ b/src/routing/candidates.hpp
@@ -51,12 +51,12 @@
 /// Returns whether a recent load reading shows that all slots of the server are taken.
 bool is_full(const backend& server, core::time_point now);
 
-/// How long a request may queue at a server whose slots are all taken.
+/// What a request requires of a server that other requests keep busy.
 enum class queueing
 {
-    none,    ///< Not at all: it needs a free slot.
-    in_time, ///< As long as the response can still be in time.
-    late     ///< Also beyond that, while fewer requests wait than the server has slots.
+    in_time, ///< A free slot, or a queue so short that the response can still be in time.
+    none,    ///< A free slot.
+    spare    ///< A free slot and a further one for requests that can still be in time.
 };
 
 /// Returns whether the server has capacity for a request that may queue for `max_queue_time` before
--- a/test/correctness/routing/backends_test.cpp
+++ b/test/correctness/routing/backends_test.cpp
@@ -306,14 +306,31 @@
     };
     EXPECT_TRUE(has_capacity_for(1, 0, queueing::none, 0ms)) << "a slot is free";
     EXPECT_FALSE(has_capacity_for(2, 0, queueing::none, 1s));
-    EXPECT_TRUE(has_capacity_for(2, 0, queueing::in_time, 200ms)) << "a slot is free after 150 ms";
-    EXPECT_FALSE(has_capacity_for(2, 0, queueing::in_time, 100ms));
-    EXPECT_TRUE(has_capacity_for(2, 0, queueing::late, 0ms));
-    EXPECT_TRUE(has_capacity_for(2, 1, queueing::late, 0ms));
-    EXPECT_FALSE(has_capacity_for(2, 2, queueing::late, 10s))
+    EXPECT_TRUE(has_capacity_for(2, 0, queueing::in_time, 250ms))
+        << "a slot is free after 150 ms, and half of that is added for safety";
+    EXPECT_FALSE(has_capacity_for(2, 0, queueing::in_time, 200ms));
+    EXPECT_FALSE(has_capacity_for(2, 2, queueing::in_time, 10s))
         << "as many requests wait as the server has slots";
 }
 
+// Guards against requests that are late in any case and take the last slot of a server, which makes
+// those late that come next.
+TEST_F(backends_test, a_late_request_leaves_a_slot_to_others)
+{
+    apply_listing(set, listing("a"), start);
+    const auto has_spare_capacity = [&](std::uint32_t running, std::uint32_t slots)
+    {
+        on_load_reading(server("a"), {.running = running, .slots = slots, .received_at = start},
+                        {});
+        return has_capacity(set, server("a"), queueing::spare, 0ms, start);
+    };
+    EXPECT_TRUE(has_spare_capacity(0, 2));
+    EXPECT_FALSE(has_spare_capacity(1, 2));
+    EXPECT_TRUE(has_spare_capacity(4, 6));
+    EXPECT_FALSE(has_spare_capacity(5, 6));
+    EXPECT_TRUE(has_spare_capacity(0, 1)) << "a server with one slot has no other to leave";
+}
+
 // Guards against a cold server that gets the requests of all daemons that selected it before its
 // load probe showed that it is cold.
 TEST(candidates, a_candidate_that_turns_cold_needs_a_cold_token)
