Count a reported slowdown for the whole of a request that starts now

Cause: the cost of a server that reports slow work was capped at 60 ms, on the belief that a slowdown passes within a long request. Nearly all requests that ended at their deadline had been sent to such a server.

Change: the slowdown is a factor of the expected cost; a request that can be in time goes to a slow server only if it stays in time there, and selects again otherwise; a hedge goes to a server at usual speed only.

Ruled out: servers that hang (the slow ones did answer), hedges missing (non-idempotent requests have none).

--- a/src/admission/placement.cpp
+++ b/src/admission/placement.cpp
@@ -27,18 +27,17 @@
         // No request of the route is in time, so there is none to reserve a slot for.
         return {.accepted = routing::queueing::none, .waits = may_wait_late(request)};
     }
-    const core::duration max_queue_time = spare_time - request.since_first_attempt;
-    if (max_queue_time < core::duration::zero())
+    const core::duration max_delay = spare_time - request.since_first_attempt;
+    if (max_delay < core::duration::zero())
     {
         return {.accepted = routing::queueing::spare};
     }
-    return {
-        .accepted = routing::queueing::in_time, .max_queue_time = max_queue_time, .waits = true};
+    return {.accepted = routing::queueing::in_time, .max_delay = max_delay, .waits = true};
 }
 
-placement place_hedge()
+placement place_hedge(core::duration usual_latency)
 {
-    return {.accepted = routing::queueing::spare};
+    return {.accepted = routing::queueing::spare, .max_delay = usual_latency / 2};
 }
 
 } // namespace zinniaferry::admission
--- a/src/admission/placement.hpp
+++ b/src/admission/placement.hpp
@@ -26,7 +26,7 @@
 struct placement
 {
     routing::queueing accepted = routing::queueing::in_time;
-    core::duration max_queue_time{}; ///< Time in a server's queue with which it is in time.
+    core::duration max_delay = core::duration::max(); ///< Beyond the usual latency.
     bool waits = false; ///< If no server is acceptable now, another selection may find one.
 };
 
@@ -34,7 +34,8 @@
 placement place(const waiting_request& request);
 
 /// Returns the placement of a hedge, for which no response is lost if no server is found: it must
-/// not take a place that another request needs. Thread safe.
-placement place_hedge();
+/// not take a place that another request needs, and it is of use at a fast server only. Thread
+/// safe.
+placement place_hedge(core::duration usual_latency);
 
 } // namespace zinniaferry::admission
--- a/src/net/backend_selection.cpp
+++ b/src/net/backend_selection.cpp
@@ -234,8 +234,8 @@
               });
     for (connected_backend& candidate : connected)
     {
-        const bool has_capacity = routing::has_capacity(
-            gateway.backends, *candidate.server, criteria.queueing, criteria.max_queue_time, now);
+        const bool has_capacity = routing::has_capacity(gateway.backends, *candidate.server,
+                                                        criteria.queueing, criteria.max_delay, now);
         if (!out.selected && has_capacity &&
             routing::is_eligible(gateway.backends, *candidate.server, now) &&
             routing::admit_candidate(gateway.backends, *candidate.server, candidate.selected_cold,
--- a/src/net/backend_selection.hpp
+++ b/src/net/backend_selection.hpp
@@ -28,7 +28,7 @@
     std::span<const routing::backend_pointer> excluded; ///< Servers already tried for the request.
     core::time_point deadline;                          ///< Latest end of the selection.
     routing::queueing queueing = routing::queueing::in_time;
-    core::duration max_queue_time{}; ///< Time that the request may queue at the server.
+    core::duration max_delay{}; ///< Beyond the usual latency; see routing::has_capacity.
 };
 
 /// Result of a selection.
--- a/src/net/request_handler.cpp
+++ b/src/net/request_handler.cpp
@@ -194,7 +194,7 @@
 {
     if (open_attempt_count() > 0)
     {
-        return admission::place_hedge();
+        return admission::place_hedge(statistics_->latency.median);
     }
     const core::time_point now = core::boot_clock_now();
     return admission::place({.since_arrival = now - arrived_,
@@ -250,7 +250,7 @@
                                          .excluded = tried_servers_,
                                          .deadline = deadline_,
                                          .queueing = placement.accepted,
-                                         .max_queue_time = placement.max_queue_time};
+                                         .max_delay = placement.max_delay};
     const backend_selection selection = co_await select_backend(gateway_, criteria);
     if (!selection.selected)
     {
--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -19,9 +19,6 @@
 constexpr double max_suspect_fraction = 0.5;
 /// Cost factor of a server in another data centre: traffic between data centres is charged for.
 constexpr double remote_cost_factor = 1.1;
-/// Most that a reported slowdown adds to the expected latency: a slowdown changes within this time,
-/// so it does not last for the whole of a long request.
-constexpr core::duration max_slowdown_cost = std::chrono::milliseconds(60);
 /// A server that has not answered a load probe within this time is taken to be full.
 constexpr core::duration max_load_probe_delay = std::chrono::milliseconds(40);
 /// When callers of a service whose servers all leave are to retry: a new server is usually listed
@@ -194,36 +191,39 @@
 }
 
 bool has_capacity(const backend_set& set, const backend& server, queueing accepted,
-                  core::duration max_queue_time, core::time_point now)
+                  core::duration max_delay, core::time_point now)
 {
     if (!is_fresh(server, now))
     {
         return true;
     }
     const load_reading& reading = *server.reading;
+    const double latency = service_latency(set, server);
+    const double slowdown_delay = latency * std::max(0.0, reading.slowdown - 1.0);
     const std::uint32_t slots = std::max(1U, reading.slots);
     const std::uint32_t requests_at_server = reading.running + reading.waiting;
     if (requests_at_server < slots)
     {
         const bool is_last_slot = requests_at_server + 1 == slots;
-        return accepted != queueing::spare || !is_last_slot || requests_at_server == 0;
+        const bool leaves_slot = !is_last_slot || requests_at_server == 0;
+        return (accepted != queueing::spare || leaves_slot) &&
+               slowdown_delay <= core::to_seconds(max_delay);
     }
     const std::uint32_t waiting = requests_at_server - slots;
     if (accepted != queueing::in_time || waiting >= slots)
     {
         return false;
     }
-    const double latency = service_latency(set, server);
     const double expected_wait =
         latency * static_cast<double>(waiting + 1) / static_cast<double>(slots);
-    return expected_wait * queue_time_margin <= core::to_seconds(max_queue_time);
+    return expected_wait * queue_time_margin + slowdown_delay <= core::to_seconds(max_delay);
 }
 
 double expected_cost(const backend_set& set, const backend& server, core::time_point now)
 {
     const double slots = std::max(1U, server.listed.slots);
     double requests_at_server = server.in_flight;
-    double slowdown_cost = 0.0;
+    double slowdown = 1.0;
     const double latency = service_latency(set, server);
     // Assumes 100 ms until the service has responded for the first time.
     const double base_latency = latency > 0.0 ? latency : 0.1;
@@ -231,14 +231,13 @@
     {
         requests_at_server =
             std::max<double>(requests_at_server, server.reading->running + server.reading->waiting);
-        slowdown_cost = std::min(core::to_seconds(max_slowdown_cost),
-                                 std::max(0.0, server.reading->slowdown - 1.0) * base_latency);
+        slowdown = std::max(1.0, server.reading->slowdown);
     }
     const double load = (requests_at_server + 1.0) / slots;
     const double latency_factor = std::max(1.0, slowness(server, now));
     const double distance_factor =
         server.listed.data_centre == set.options.data_centre ? 1.0 : remote_cost_factor;
-    return (base_latency * latency_factor * (1.0 + std::pow(load, 4.0)) + slowdown_cost) *
+    return base_latency * latency_factor * slowdown * (1.0 + std::pow(load, 4.0)) *
            (1.0 + 4.0 * error_rate(server, now)) * distance_factor;
 }
 
--- a/src/routing/candidates.hpp
+++ b/src/routing/candidates.hpp
@@ -59,12 +59,13 @@
     spare    ///< A free slot and a further one for requests that can still be in time.
 };
 
-/// Returns whether the server has capacity for a request that may queue for `max_queue_time` before
-/// it runs. When a request exceeds its queue, a server closes the connection without a response, so
-/// that nobody knows whether the request ran. A server with as many waiting requests as slots
-/// therefore has no capacity in any case.
+/// Returns whether the server has capacity for a request whose response may take `max_delay` longer
+/// than usual, because of the server's queue or because work at the server takes longer at the
+/// moment: a request that starts then takes longer as a whole. When a request exceeds its queue, a
+/// server closes the connection without a response, so that nobody knows whether the request ran. A
+/// server with as many waiting requests as slots therefore has no capacity in any case.
 bool has_capacity(const backend_set& set, const backend& server, queueing accepted,
-                  core::duration max_queue_time, core::time_point now);
+                  core::duration max_delay, core::time_point now);
 
 /// Returns whether a candidate may get the request that it was selected for. `selected_cold` is
 /// whether it was cold then, and has used its cold token. One that has turned cold since, as its
--- a/test/correctness/admission/placement_test.cpp
+++ b/test/correctness/admission/placement_test.cpp
@@ -18,7 +18,7 @@
 {
     const placement out = place(new_request);
     EXPECT_EQ(out.accepted, queueing::in_time);
-    EXPECT_EQ(out.max_queue_time, 90ms);
+    EXPECT_EQ(out.max_delay, 90ms);
     EXPECT_TRUE(out.waits);
 }
 
@@ -31,6 +31,7 @@
     late.since_first_attempt = 95ms;
     const placement out = place(late);
     EXPECT_EQ(out.accepted, queueing::spare);
+    EXPECT_EQ(out.max_delay, core::duration::max());
     EXPECT_FALSE(out.waits);
 }
 
@@ -42,6 +43,7 @@
     request.usual_latency = 400ms;
     request.since_first_attempt = 1s;
     EXPECT_EQ(place(request).accepted, queueing::none);
+    EXPECT_EQ(place(request).max_delay, core::duration::max());
     EXPECT_TRUE(place(request).waits);
     request.since_arrival = 100ms;
     EXPECT_FALSE(place(request).waits);
@@ -50,8 +52,10 @@
 // Guards against hedges that take the slot which a first attempt needs.
 TEST(placement, a_hedge_leaves_a_slot_to_others)
 {
-    EXPECT_EQ(place_hedge().accepted, queueing::spare);
-    EXPECT_FALSE(place_hedge().waits);
+    const placement out = place_hedge(200ms);
+    EXPECT_EQ(out.accepted, queueing::spare);
+    EXPECT_EQ(out.max_delay, 100ms) << "a slow server is of no use";
+    EXPECT_FALSE(out.waits);
 }
 
 } // namespace
--- a/test/correctness/routing/backends_test.cpp
+++ b/test/correctness/routing/backends_test.cpp
@@ -232,6 +232,23 @@
               expected_cost(set, server("b"), start + 1s));
 }
 
+// Guards against a request at an idle server on which work takes five times as long at the moment:
+// all of the request's work takes that long, so a busy server is better.
+TEST_F(backends_test, a_server_that_works_slowly_ranks_below_a_busy_one)
+{
+    set.service_states["orders"].latency = 300ms;
+    apply_listing(set, listing("slow"), start);
+    apply_listing(set, listing("busy"), start);
+    on_load_reading(server("slow"), {.slots = 2, .slowdown = 5.0, .received_at = start}, {});
+    on_load_reading(server("busy"), {.running = 1, .slots = 2, .received_at = start}, {});
+    EXPECT_GT(expected_cost(set, server("slow"), start),
+              2.0 * expected_cost(set, server("busy"), start));
+    EXPECT_FALSE(has_capacity(set, server("slow"), queueing::in_time, 1s, start));
+    EXPECT_TRUE(has_capacity(set, server("slow"), queueing::in_time, 2s, start));
+    EXPECT_TRUE(has_capacity(set, server("slow"), queueing::none, core::duration::max(), start))
+        << "all servers may be slow";
+}
+
 // Guards against sending the full rate to a server that restarted without a new listing.
 TEST_F(backends_test, a_health_response_with_a_warmup_makes_a_server_cold)
 {
@@ -297,12 +314,12 @@
     set.service_states["orders"].latency = 300ms;
     apply_listing(set, listing("a"), start);
     const auto has_capacity_for = [&](std::uint32_t running, std::uint32_t waiting,
-                                      queueing accepted, core::duration max_queue_time)
+                                      queueing accepted, core::duration max_delay)
     {
         on_load_reading(server("a"),
                         {.running = running, .waiting = waiting, .slots = 2, .received_at = start},
                         {});
-        return has_capacity(set, server("a"), accepted, max_queue_time, start);
+        return has_capacity(set, server("a"), accepted, max_delay, start);
     };
     EXPECT_TRUE(has_capacity_for(1, 0, queueing::none, 0ms)) << "a slot is free";
     EXPECT_FALSE(has_capacity_for(2, 0, queueing::none, 1s));
@@ -322,7 +339,7 @@
     {
         on_load_reading(server("a"), {.running = running, .slots = slots, .received_at = start},
                         {});
-        return has_capacity(set, server("a"), queueing::spare, 0ms, start);
+        return has_capacity(set, server("a"), queueing::spare, core::duration::max(), start);
     };
     EXPECT_TRUE(has_spare_capacity(0, 2));
     EXPECT_FALSE(has_spare_capacity(1, 2));
