End a caller's connection after the response that states it

Cause: GCC 12 evaluates the co_await of 'keep_open && co_await wait_for_request()' in a loop condition also when keep_open is false. After a response with 'Connection: close' the daemon waited for the next request, dropped what then arrived, and closed only after that or at the idle timeout. During a planned stop such connections had to be closed as idle ones.

Found through the duration of the unit tests: each exchange waited for its timeout. Ruled out: a further request on that connection is not served (it is read and dropped). No other co_await in the code is an operand of && or ||.

--- a/src/net/caller_session.cpp
+++ b/src/net/caller_session.cpp
@@ -207,8 +207,15 @@
 {
     auto connection = std::make_shared<caller_connection>(sessions, std::move(socket));
     bool keep_open = true;
-    while (keep_open && co_await wait_for_request(*connection))
+    while (keep_open)
     {
+        // A statement of its own: in a condition `keep_open && co_await ...`, GCC 12 waits for a
+        // request although keep_open is false.
+        const bool has_request = co_await wait_for_request(*connection);
+        if (!has_request)
+        {
+            break;
+        }
         http::request_parser<http::string_body> parser;
         const error_code error = co_await read_request(*connection, parser);
         if (error)
--- a/test/correctness/net/caller_session_test.cpp
+++ b/test/correctness/net/caller_session_test.cpp
@@ -89,5 +89,22 @@
     EXPECT_TRUE(stopped);
 }
 
+// Guards against a connection that stays open after a response which states that it closes. The
+// daemon kept it until its idle timeout, and dropped what arrived on it.
+TEST_F(stopping_test, a_connection_ends_after_the_response_that_states_it)
+{
+    caller last_caller(front);
+    constexpr std::string_view last = "GET /open HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    asio::write(last_caller.socket, asio::buffer(last.data(), last.size()));
+    EXPECT_NE(last_caller.receive().find("hello"), std::string::npos);
+    boost::system::error_code ended;
+    std::array<char, 16> rest;
+    last_caller.socket.async_read_some(asio::buffer(rest),
+                                       [&](const boost::system::error_code& error, std::size_t)
+                                       { ended = error; });
+    last_caller.io.run_for(std::chrono::seconds(5));
+    EXPECT_EQ(ended, asio::error::eof);
+}
+
 } // namespace
 } // namespace zinniaferry::net
