Let a request wait for a late grant instead of refusing it within its account's rate

All 173 of one data centre's 429 were decided by the standalone quota, with 168 late grants, while a hub was reachable.

Change: while a hub is reachable, a request without a reserve waits up to 80 ms more for the late grant. Nothing changes for a daemon that reaches no hub. No bound of QUOTA is touched: late grants were already used for later requests.

gateway.a_request_waits_for_a_late_grant fails before and passes after.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -1,7 +1,10 @@
 #include "net/gateway.hpp"
 
+#include "net/await_error.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
 
@@ -16,6 +19,11 @@
 /// them, and callers retry on new connections.
 constexpr core::duration outdated_retry_after = std::chrono::milliseconds(250);
 
+/// How long a request that its account's reserve does not cover waits for a late grant. A hub that
+/// encodes a large configuration on a small VM answers late.
+constexpr core::duration max_late_grant_wait = std::chrono::milliseconds(80);
+constexpr core::duration late_grant_poll_interval = std::chrono::milliseconds(10);
+
 // Returns the path on which a service's servers are probed.
 std::string health_path(const gateway& gateway, const std::string& service)
 {
@@ -78,6 +86,24 @@
     gateway.backend_connections.put_back(*server, connection);
 }
 
+// Waits for a grant that the hub sends late, or that another request leaves. Returns whether one
+// was taken.
+asio::awaitable<bool> take_late_grant(gateway& gateway, const std::string& account)
+{
+    asio::steady_timer timer(gateway.io);
+    for (core::duration waited{}; waited < max_late_grant_wait; waited += late_grant_poll_interval)
+    {
+        timer.expires_after(late_grant_poll_interval);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(redirect_error_to(ignored));
+        if (limits::take_granted(gateway.accounts, account, core::boot_clock_now()))
+        {
+            co_return true;
+        }
+    }
+    co_return false;
+}
+
 routing::listed_backend to_listing(const config::service& service,
                                    const config::backend_server& server)
 {
@@ -282,7 +308,13 @@
     const core::time_point now = core::boot_clock_now();
     if (!granted)
     {
-        co_return limits::take_standalone(pools, account, now);
+        const limits::grant own = limits::take_standalone(pools, account, now);
+        if (own.requests == 0 && !pools.standalone)
+        {
+            const bool late = co_await take_late_grant(gateway, account);
+            co_return late ? limits::grant{.requests = 1} : own;
+        }
+        co_return own;
     }
     if (granted->requests > 1)
     {
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -123,8 +123,8 @@
 boost::json::object dump(const gateway& gateway, core::time_point now);
 
 /// Applies the account's rate limit to one request: takes it from unused grants, from the hub or,
-/// if no hub responds, from this daemon's standalone quota. Returns a grant of one request, or of
-/// none.
+/// if no hub responds in time, from this daemon's standalone quota or a late grant. Returns a grant
+/// of one request, or of none.
 asio::awaitable<limits::grant> acquire_grant(gateway& gateway, std::string account);
 
 /// Records and logs what a response says of its server.
--- a/test/correctness/net/gateway_test.cpp
+++ b/test/correctness/net/gateway_test.cpp
@@ -50,5 +50,52 @@
     EXPECT_EQ(reason_at(start + 6s), request::refusal_reason::unknown_key);
 }
 
+/// Asks for a grant of an account with a small rate, whose hub answers `late_by` after the request
+/// has ceased to wait for it.
+limits::grant acquire_with_late_hub(core::duration late_by, bool is_standalone = false)
+{
+    asio::io_context io;
+    gateway shared(io, {}, {.vm = "vm-1", .log = {.enabled = false}});
+    const core::time_point now = core::boot_clock_now();
+    auto config = std::make_shared<config::configuration>();
+    config->version = 1;
+    config->accounts.push_back({.name = "a", .rate = 1.0, .burst = 1.0});
+    apply_configuration(shared, config, now);
+    limits::set_fleet_size(shared.accounts, {.members_known = 312, .is_size_known = true}, now);
+    limits::set_standalone(shared.accounts, is_standalone, now);
+    asio::steady_timer late(io, late_by);
+    shared.request_hub_grant =
+        [&](std::string account) -> asio::awaitable<std::optional<limits::grant>>
+    {
+        late.async_wait(
+            [&shared, account](const boost::system::error_code&)
+            {
+                const core::time_point arrived = core::boot_clock_now();
+                limits::add_granted(shared.accounts, account, 1, arrived, arrived);
+            });
+        co_return std::nullopt;
+    };
+    limits::grant out;
+    asio::co_spawn(
+        io, [&]() -> asio::awaitable<void> { out = co_await acquire_grant(shared, "a"); },
+        asio::detached);
+    io.run();
+    return out;
+}
+
+// Guards against refusing requests within the rate of their account (QUOTA) because its hub, busy
+// with a large configuration, answers some tens of milliseconds late.
+TEST(gateway, a_request_waits_for_a_late_grant)
+{
+    EXPECT_EQ(acquire_with_late_hub(25ms).requests, 1U);
+}
+
+// Guards against holding a request for a grant that no hub will send.
+TEST(gateway, a_request_is_refused_when_no_late_grant_arrives)
+{
+    EXPECT_EQ(acquire_with_late_hub(1s).requests, 0U);
+    EXPECT_EQ(acquire_with_late_hub(25ms, true).requests, 0U) << "no hub is reachable";
+}
+
 } // namespace
 } // namespace zinniaferry::net
