--- a/src/admission/placement.cpp
+++ b/src/admission/placement.cpp
@@ -6,6 +6,9 @@
 namespace
 {
 
+/// Factor on the usual latency, which is a median: a request that has no more time than that is
+/// late half of the time.
+constexpr double latency_margin = 1.2;
 /// Fraction of the objective during which a request of a route whose responses are all late waits
 /// for a server.
 constexpr double late_wait_fraction = 0.3;
@@ -20,8 +23,9 @@
 
 placement place(const waiting_request& request)
 {
-    const core::duration spare_time =
-        request.objective - request.response_transit - request.usual_latency;
+    const core::duration likely_latency =
+        core::from_seconds(core::to_seconds(request.usual_latency) * latency_margin);
+    const core::duration spare_time = request.objective - request.response_transit - likely_latency;
     if (spare_time < core::duration::zero())
     {
         // No request of the route is in time, so there is none to reserve a slot for.
