State the length of a response to the caller, also when the server stated none

Cause: a response that ends with the server's connection was passed on without a length. When the daemon is killed, or reaches the end of its grace period, while it writes such a response, the kernel closes the connection in order, and the caller takes what it has for the whole.

--- a/src/net/message_rules.cpp
+++ b/src/net/message_rules.cpp
@@ -175,6 +175,16 @@
     }
 }
 
+void ensure_framed(http_response& response, bool is_head)
+{
+    const bool has_no_body = is_head || response.result() == http::status::no_content ||
+                             response.result() == http::status::not_modified;
+    if (!has_no_body && !response.chunked() && !response.has_content_length())
+    {
+        response.content_length(response.body().size());
+    }
+}
+
 http_response make_refusal_response(const request::refusal& refusal, const http_profile& profile,
                                     std::string_view request_id)
 {
--- a/src/net/message_rules.hpp
+++ b/src/net/message_rules.hpp
@@ -68,6 +68,11 @@
 /// its load and how long it wants nothing. Not thread safe.
 void remove_server_headers(http_response& response, const http_profile& profile);
 
+/// States the length of a response that would otherwise end with its connection, as the caller
+/// could not tell a response that is cut off when the daemon ends from a complete one. `is_head` is
+/// whether it responds to a HEAD request. Precondition: the body is complete. Not thread safe.
+void ensure_framed(http_response& response, bool is_head);
+
 /// Returns the response to a refused request. `request_id` may be empty. Thread safe.
 http_response make_refusal_response(const request::refusal& refusal, const http_profile& profile,
                                     std::string_view request_id);
--- a/src/net/request_handler.cpp
+++ b/src/net/request_handler.cpp
@@ -462,6 +462,7 @@
     ++gateway_.counters.answered;
     remove_server_headers(response, gateway_.profile);
     response.version(11);
+    ensure_framed(response, message_.method() == http::verb::head);
     log_outcome("answered", response.result_int());
     return response;
 }
--- a/test/correctness/net/request_handler_test.cpp
+++ b/test/correctness/net/request_handler_test.cpp
@@ -119,6 +119,20 @@
     EXPECT_THAT(out, HasSubstr("\r\n\r\nhello"));
 }
 
+// Guards against a response that looks complete although the daemon ended while it was written: the
+// caller must know the length of one that came without.
+TEST(request_handler, a_response_states_its_length_to_the_caller)
+{
+    const std::string out = exchange_with(
+        response_text("200 OK", std::string(request_id_line) + signature_line + "\r\nhello"),
+        request(), nullptr, true);
+    EXPECT_THAT(out, HasSubstr("\r\nContent-Length: 5\r\n"));
+    const std::string to_head = exchange_with(
+        response_text("200 OK", std::string(request_id_line) + signature_line + "\r\n"),
+        request("HEAD"), nullptr, true);
+    EXPECT_THAT(to_head, Not(HasSubstr("Content-Length")));
+}
+
 // Guards against taking a late response to an earlier request for the response to this one, and
 // against discarding the right response that follows it.
 TEST(request_handler, a_response_to_another_request_is_skipped)
--- a/test/support/front_end.hpp
+++ b/test/support/front_end.hpp
@@ -72,6 +72,10 @@
     /// server yet.
     void send_late_copies() { sends_late_copies_ = true; }
 
+    /// Resets the connection instead of closing it. Only with `close_after`. Precondition: as
+    /// above.
+    void reset_connections() { resets_ = true; }
+
     /// Returns the requests received so far on all connections, without health checks. Thread safe.
     std::string received()
     {
@@ -134,6 +138,14 @@
             }
             pending.clear();
             co_await asio::async_write(socket, asio::buffer(response), asio::use_awaitable);
+            if (resets_)
+            {
+                // The response must have left before the reset, which would discard it.
+                asio::steady_timer pause(io_, std::chrono::milliseconds(20));
+                co_await pause.async_wait(asio::use_awaitable);
+                socket.set_option(asio::socket_base::linger(true, 0));
+                socket.close(); // The destructor would close it in order.
+            }
             if (close_after_)
             {
                 co_return;
@@ -146,6 +158,7 @@
     responder respond_;
     bool close_after_;
     bool sends_late_copies_ = false;
+    bool resets_ = false;
     std::function<void()> on_health_check_ = [] {
     };
     asio::io_context io_;
