--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -142,8 +142,8 @@
     gateway.configured_servers = std::move(listed);
 }
 
-// Erases the statistics of routes that are not in the configuration.
-void erase_dropped_routes(gateway& gateway, const config::configuration& config)
+// Erases the statistics of routes and services that are not in the configuration.
+void erase_dropped(gateway& gateway, const config::configuration& config)
 {
     std::unordered_set<std::string> routes;
     for (const config::route& route : config.routes)
@@ -152,6 +152,13 @@
     }
     std::erase_if(gateway.route_statistics_by_name,
                   [&](const auto& entry) { return !routes.contains(entry.first); });
+    std::unordered_set<std::string> services;
+    for (const config::service& service : config.services)
+    {
+        services.insert(service.name);
+    }
+    std::erase_if(gateway.overloads,
+                  [&](const auto& entry) { return !services.contains(entry.first); });
 }
 
 } // namespace
@@ -193,7 +200,7 @@
         state.warmup = service.warmup;
     }
     apply_topology(gateway, *config, now);
-    erase_dropped_routes(gateway, *config);
+    erase_dropped(gateway, *config);
     gateway.configuration = std::make_shared<const config::configuration_index>(
         config::make_configuration_index(std::move(config)));
     return true;
@@ -325,6 +332,14 @@
                             .source = granted->source};
 }
 
+core::duration refuse_for_capacity(gateway& gateway, const std::string& service,
+                                   core::time_point now)
+{
+    admission::overload& overload = gateway.overloads[service];
+    admission::on_refused(overload, now);
+    return admission::retry_after(overload, now, gateway.random);
+}
+
 void record_server_notice(gateway& gateway, const routing::server_lifetime& server,
                           const parsed_notice& parsed, routing::notice_source source)
 {
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -127,6 +127,11 @@
 /// of one request, or of none.
 asio::awaitable<limits::grant> acquire_grant(gateway& gateway, std::string account);
 
+/// Records that a request is refused because no server of the service has capacity for it. Returns
+/// when its caller is to return.
+core::duration refuse_for_capacity(gateway& gateway, const std::string& service,
+                                   core::time_point now);
+
 /// Records and logs what a response says of its server.
 void record_server_notice(gateway& gateway, const routing::server_lifetime& server,
                           const parsed_notice& parsed, routing::notice_source source);
--- a/src/net/request_handler.cpp
+++ b/src/net/request_handler.cpp
@@ -413,25 +413,16 @@
         const auto reason = servers_full_ ? refusal_reason::overloaded
                             : is_late     ? refusal_reason::expired
                                           : refusal_reason::no_server;
-        return refuse({reason, capacity_retry_after(now)});
+        const core::duration pause =
+            progress_.refusals > 0 ? rejected_retry_after : busy_retry_after;
+        return refuse(
+            {reason, servers_full_ ? refuse_for_capacity(gateway_, service_, now) : pause});
     }
     return refuse({.reason = now >= deadline_
                                  ? refusal_reason::deadline
                                  : last_failure_reason_.value_or(refusal_reason::server_lost)});
 }
 
-// When the caller of a request that no server ran is to return.
-core::duration request_handler::capacity_retry_after(core::time_point now)
-{
-    if (servers_full_)
-    {
-        admission::overload& overload = gateway_.overloads[service_];
-        admission::on_refused(overload, now);
-        return admission::retry_after(overload, now, gateway_.random);
-    }
-    return progress_.refusals > 0 ? rejected_retry_after : busy_retry_after;
-}
-
 asio::awaitable<void> request_handler::wait_until(core::time_point at)
 {
     if (!notified_)
--- a/src/net/request_handler.hpp
+++ b/src/net/request_handler.hpp
@@ -64,7 +64,6 @@
     void cancel_attempts();
     /// Returns the response for a request that no server has responded to successfully.
     http_response give_up(core::time_point now);
-    core::duration capacity_retry_after(core::time_point now);
     http_response refuse(const request::refusal& refusal);
     http_response finish_with_response(http_response response);
     void log_outcome(std::string_view outcome, unsigned status);
