Review, case 4: a daemon that is cut off and restarts grants the whole rate

A daemon that starts while it reaches no other takes itself for the whole fleet after 3 s and grants each tenant its whole rate, besides the hub of the others (QUOTA).

--- a/review/stand_ins/harness.cpp
+++ b/review/stand_ins/harness.cpp
@@ -855,6 +855,45 @@
     return 0.0;
 }
 
+proxy::proxy(const std::string& ip, const std::string& target) : target_(target)
+{
+    server_ = std::make_unique<server>(
+        ip,
+        [this](connection& from)
+        {
+            while (cut_ && !from.peer_has_closed())
+            {
+                sleep_s(0.02);
+            }
+            connection to = connect_to(target_, 1.0);
+            const int ends[2] = {from.fd(), to.fd()};
+            while (to.open())
+            {
+                pollfd wait[2] = {{ends[0], POLLIN, 0}, {ends[1], POLLIN, 0}};
+                if (cut_ || ::poll(wait, 2, 20) < 0)
+                {
+                    sleep_s(0.02);
+                    continue;
+                }
+                for (int i = 0; i < 2; ++i)
+                {
+                    if ((wait[i].revents & (POLLIN | POLLHUP | POLLERR)) == 0)
+                    {
+                        continue;
+                    }
+                    char bytes[65536];
+                    const ssize_t count = ::recv(ends[i], bytes, sizeof bytes, 0);
+                    if (count <= 0 ||
+                        !(i == 0 ? to : from)
+                             .send(std::string(bytes, static_cast<std::size_t>(count))))
+                    {
+                        return;
+                    }
+                }
+            }
+        });
+}
+
 balancer::balancer(std::vector<daemon_process*> daemons)
     : daemons_(std::move(daemons)), misses_(daemons_.size())
 {
@@ -953,12 +992,14 @@
            R"(","health-path":"/health","max-conns":260,"protocol":"h1","tls":false,"warmup-s":3.0,"warmup-per-s":2.2})";
 }
 
-std::string configuration(int version, const std::string& routes, const std::string& services)
+std::string configuration(int version, const std::string& routes, const std::string& services,
+                          int rate, int burst)
 {
     return R"({"version":"r)" + std::to_string(version) + R"(","routes":)" + routes +
            R"(,"services":)" + services +
            R"(,"limits":{"header-bytes":16384,"body-bytes":67108864,"header-timeout-s":3,"idle-timeout-s":15},"tenants":[{"name":"sese880","api-keys":[")" +
-           client_key + R"("],"priority":1,"rate-per-s":0,"burst":0}]})";
+           client_key + R"("],"priority":1,"rate-per-s":)" + std::to_string(rate) + R"(,"burst":)" +
+           std::to_string(burst) + "}]}";
 }
 
 std::string client_request(const std::string& method, const std::string& host,
--- a/review/stand_ins/harness.hpp
+++ b/review/stand_ins/harness.hpp
@@ -236,6 +236,21 @@
     int exit_status_ = 0;
 };
 
+/// A TCP proxy in front of an address. While it is cut it forwards nothing, in either direction,
+/// and resets nothing.
+class proxy
+{
+public:
+    proxy(const std::string& ip, const std::string& target);
+    std::string address() const { return server_->address(); }
+    void set_cut(bool cut) { cut_ = cut; }
+
+private:
+    std::string target_;
+    std::atomic<bool> cut_{false};
+    std::unique_ptr<server> server_;
+};
+
 /// The platform's balancer in front of the daemons of one zone, as the pages tell it: it asks each
 /// daemon's `ready` address once a second; after two misses the daemon gets no new connections
 /// until it answers with 200 again; if fewer than half are in rotation, all are used.
@@ -265,7 +280,9 @@
 bool trouble();
 
 /// Limits and a tenant as in the examples of the pages; `routes` and `services` are JSON lists.
-std::string configuration(int version, const std::string& routes, const std::string& services);
+/// `rate` and `burst` are those of the tenant; 0 is no limit.
+std::string configuration(int version, const std::string& routes, const std::string& services,
+                          int rate = 0, int burst = 0);
 std::string service_entry(const std::string& name);
 inline const char* const client_key = "ctnfzs989anu6wsjnban";
 /// A request of a sound client.
