--- a/review/stand_ins/harness.hpp
+++ b/review/stand_ins/harness.hpp
@@ -213,6 +213,7 @@
     ~daemon_process();
 
     void choose_ports(); ///< Once, before the settings of any daemon are written.
+    void set_store_address(const std::string& address) { options_.store_address = address; }
     void write_settings(const std::vector<std::string>& seeds);
     void start();
     void signal(int number);
