--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,6 +1,6 @@
 /// A planned stop cuts requests: two of the three daemons of a zone get SIGTERM, and clients go on
 /// sending.
-#include "../stand_ins/harness.hpp"
+#include "../harness.hpp"
 
 #include <cstdio>
 #include <signal.h>
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,6 +1,6 @@
 /// A daemon that is cut off from the others and starts again takes itself for the whole fleet: it
 /// grants each tenant's whole rate, which the hub of the others grants as well.
-#include "../stand_ins/harness.hpp"
+#include "../harness.hpp"
 
 #include <algorithm>
 #include <cstdio>
