Planned stop: send no request to a server whose response may come after the exit

What callers saw: a daemon that got SIGTERM with a grace period of 6 s took requests as usual until 4.0 s after it, 1.5 s before its exit, whatever their timeout. Requests of a route with a timeout of 2.5 s whose servers took 2 s were cut at 5.5 s: the connection closed without a response, and an order's outcome was unknown.

Cause: the time from which requests were refused was a fixed one before the end of the grace period. It knew nothing of the request's deadline, nor of the exit 0.5 s before that end. Related, by reading: a request that waited for a server when the process exited got no response at all; a margin of 0.5 s is a quarter of a grace period of 2 s.

Now admission/stop_schedule decides from the request's deadline: after the announcement (2.6 s, or half of the grace period) a request is sent only if its response is due 0.2 s before the exit; one that waits is refused as not run; a retry or hedge of one that may have run is sent until then. The exit comes a twelfth of the grace period before its end, 0.5 s at most. Requests with short time limits are served longer than before. The log states both times and what was cut.

--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -30,14 +30,6 @@
 constexpr core::duration counters_log_interval = std::chrono::seconds(5);
 /// Settings are also reloaded at this interval, as they may change without a SIGHUP.
 constexpr core::duration settings_reload_interval = std::chrono::seconds(5);
-/// Time for the platform's balancer to notice that readiness is off: it probes readiness once a
-/// second and stops sending to the daemon after two failures.
-constexpr core::duration readiness_propagation = std::chrono::milliseconds(2600);
-/// The daemon exits at the latest this long before the end of the stop grace period.
-constexpr core::duration exit_margin = std::chrono::milliseconds(500);
-/// Requests are refused from this long before the end of the grace period, as they might not finish
-/// in it.
-constexpr core::duration last_request_margin = std::chrono::milliseconds(2000);
 constexpr core::duration stop_poll_interval = std::chrono::milliseconds(20);
 constexpr core::duration ready_poll_interval = std::chrono::milliseconds(20);
 /// How long a daemon that has just started waits for the first update of a hub.
@@ -138,7 +130,9 @@
         spawn(reload_settings_regularly());
         spawn(wait_for_stop());
         io_.run();
-        gateway_.log.write("daemon", "stopped", {{"connections", sessions_.open_count}});
+        gateway_.log.write("daemon", "stopped",
+                           {{"connections", sessions_.open_count},
+                            {"requests_in_progress", gateway_.requests_in_progress}});
         return {};
     }
 
@@ -355,28 +349,29 @@
     }
 
     // Readiness is turned off first. New callers are served until the platform's balancer has
-    // noticed.
+    // noticed, and then those whose response leaves before the exit.
     asio::awaitable<void> stop()
     {
-        const core::time_point stop_requested_at = core::boot_clock_now();
+        const core::time_point requested_at = core::boot_clock_now();
+        const auto schedule = admission::plan_stop(requested_at, settings_.stop_grace);
         lifecycle_.apply(process_event::stop_requested);
         gateway_.close_after_response = true;
-        gateway_.log.write("daemon", "stopping",
-                           {{"requests_in_progress", gateway_.requests_in_progress}});
-        const core::time_point exit_at = stop_requested_at + settings_.stop_grace - exit_margin;
-        co_await pause(std::min(readiness_propagation, settings_.stop_grace / 2));
+        gateway_.stop = schedule;
+        gateway_.log.write(
+            "daemon", "stopping",
+            {{"requests_in_progress", gateway_.requests_in_progress},
+             {"announced_ms", core::to_milliseconds(schedule.announced_until - requested_at)},
+             {"exit_ms", core::to_milliseconds(schedule.exit_at - requested_at)}});
+        co_await pause(schedule.announced_until - requested_at);
         lifecycle_.apply(process_event::announcement_finished);
-        const core::time_point refuse_from =
-            stop_requested_at + settings_.stop_grace - last_request_margin;
         close_idle_sessions(sessions_);
-        while (core::boot_clock_now() < exit_at)
+        while (core::boot_clock_now() < schedule.exit_at)
         {
             if (sessions_.open_count == 0 && stop_accepting(sessions_, caller_acceptor_))
             {
                 break;
             }
             co_await pause(stop_poll_interval);
-            gateway_.refuse_new_requests = core::boot_clock_now() >= refuse_from;
             close_idle_sessions(sessions_);
         }
         lifecycle_.apply(process_event::work_finished);
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -4,6 +4,7 @@
 
 #include "admission/overload.hpp"
 #include "admission/stated_deadlines.hpp"
+#include "admission/stop_schedule.hpp"
 #include "config/index.hpp"
 #include "limits/account_pools.hpp"
 #include "limits/probe_budget.hpp"
@@ -18,6 +19,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace zinniaferry::net
@@ -90,7 +92,7 @@
     std::unordered_set<std::string> configured_servers; ///< Ids of the configuration's servers.
     std::size_t requests_in_progress = 0;
     bool close_after_response = false; ///< Close callers' connections after the current response.
-    bool refuse_new_requests = false;  ///< Set when the daemon is about to exit.
+    std::optional<admission::stop_schedule> stop; ///< Set while the daemon stops.
 };
 
 /// Puts a configuration in force unless its version is not newer than that of the current one, so
--- a/src/net/request_handler.cpp
+++ b/src/net/request_handler.cpp
@@ -34,7 +34,8 @@
 
 request_handler::request_handler(gateway& gateway, const http_request& message,
                                  core::time_point arrived)
-    : gateway_(gateway), message_(message), arrived_(arrived), wake_timer_(gateway.io)
+    : gateway_(gateway), message_(message), arrived_(arrived), first_asked_at_(arrived),
+      wake_timer_(gateway.io)
 {
 }
 
@@ -79,10 +80,6 @@
         co_return request::refusal{.reason = *reason};
     }
     description_ = std::get<request_description>(described);
-    if (gateway_.refuse_new_requests)
-    {
-        co_return request::refusal{refusal_reason::stopping, stopping_retry_after};
-    }
     if (const auto refusal = resolve_route_and_account())
     {
         co_return refusal;
@@ -91,7 +88,10 @@
         std::max(description_.time_left.value_or(default_time_left) - response_transit_time,
                  core::duration());
     deadline_ = arrived_ + std::min(time_left, route_->timeout);
-    first_asked_at_ = arrived_;
+    if (arrived_ > last_send_time())
+    {
+        co_return request::refusal{refusal_reason::stopping, stopping_retry_after};
+    }
     if (description_.time_left)
     {
         first_asked_at_ -=
@@ -228,8 +228,19 @@
                                 .usual_latency = statistics_->latency.median});
 }
 
+core::time_point request_handler::last_send_time() const
+{
+    const bool may_have_run = !request::has_certainly_not_run(progress_);
+    return gateway_.stop ? admission::last_send_time(*gateway_.stop, deadline_, may_have_run)
+                         : deadline_;
+}
+
 bool request_handler::may_send_now(core::time_point now) const
 {
+    if (now > last_send_time())
+    {
+        return false;
+    }
     if (open_attempt_count() == 0)
     {
         const bool is_first = attempts_.empty();
@@ -261,7 +272,10 @@
     const connected_backend& selected = *selection.selected;
     servers_full_ = routing::is_full(*selected.server, core::boot_clock_now());
     const bool is_first = attempts_.empty();
-    if (caller_gone_ || (!is_first && !limits::take_retry(gateway_.retry_budget, service_)))
+    // The last send time may have passed while servers were probed.
+    const bool is_too_late = core::boot_clock_now() > last_send_time();
+    if (caller_gone_ || is_too_late ||
+        (!is_first && !limits::take_retry(gateway_.retry_budget, service_)))
     {
         gateway_.backend_connections.put_back(*selected.server, selected.connection);
         co_return false;
--- a/src/net/request_handler.hpp
+++ b/src/net/request_handler.hpp
@@ -58,6 +58,8 @@
     std::optional<core::duration> service_pause(core::time_point now) const;
     std::optional<core::time_point> hedge_time() const;
     bool may_send_now(core::time_point now) const;
+    /// Returns until when the request may be sent to a server.
+    core::time_point last_send_time() const;
     asio::awaitable<void> wait_until(core::time_point at);
     /// Wakes wait_until().
     void notify();
--- a/src/net/request_outcome.cpp
+++ b/src/net/request_outcome.cpp
@@ -111,9 +111,11 @@
                 {refusal_reason::no_server, routing::spread_retry_after(*pause, gateway_.random)});
         }
         const bool is_late = now >= deadline_;
-        const auto reason = servers_full_ ? refusal_reason::overloaded
-                            : is_late     ? refusal_reason::expired
-                                          : refusal_reason::no_server;
+        const bool is_stopping = !is_late && now > last_send_time();
+        const auto reason = is_stopping     ? refusal_reason::stopping
+                            : servers_full_ ? refusal_reason::overloaded
+                            : is_late       ? refusal_reason::expired
+                                            : refusal_reason::no_server;
         const core::duration pause =
             progress_.refusals > 0 ? rejected_retry_after : busy_retry_after;
         return refuse(
--- a/test/support/front_end.hpp
+++ b/test/support/front_end.hpp
@@ -28,6 +28,9 @@
 /// A load header line, CRLF included, of an idle server that accepts requests.
 inline constexpr std::string_view healthy_load_header =
     "X-Zinnia-Load: inflight=0;queue=0;slots=2;state=serving\r\n";
+/// The same of a server whose slots are taken.
+inline constexpr std::string_view full_load_header =
+    "X-Zinnia-Load: inflight=2;queue=8;slots=2;state=serving\r\n";
 
 /// A loopback backend server in a thread of its own. It passes health checks, sends the same bytes
 /// in response to every other request, and keeps the bytes of those requests. With `close_after` it
@@ -67,6 +70,9 @@
     /// request has been sent to this server yet.
     void on_health_check(std::function<void()> action) { on_health_check_ = std::move(action); }
 
+    /// Reports in health checks that all slots are taken. Precondition: as above.
+    void report_full() { health_load_header_ = full_load_header; }
+
     /// Sends a second copy of the last response on a connection some milliseconds before the
     /// response to the next health check on it. Precondition: no request has been sent to this
     /// server yet.
@@ -123,8 +129,9 @@
                     asio::steady_timer pause(io_, std::chrono::milliseconds(10));
                     co_await pause.async_wait(asio::use_awaitable);
                 }
-                co_await asio::async_write(socket, asio::buffer(health_response_),
-                                           asio::use_awaitable);
+                const std::string health =
+                    "HTTP/1.1 200 OK\r\n" + health_load_header_ + "Content-Length: 0\r\n\r\n";
+                co_await asio::async_write(socket, asio::buffer(health), asio::use_awaitable);
                 continue;
             }
             const std::string response = respond_(pending);
@@ -153,8 +160,7 @@
         }
     }
 
-    const std::string health_response_ =
-        "HTTP/1.1 200 OK\r\n" + std::string(healthy_load_header) + "Content-Length: 0\r\n\r\n";
+    std::string health_load_header_{healthy_load_header};
     responder respond_;
     bool close_after_;
     bool sends_late_copies_ = false;
--- a/tools/fleet_faults.sh
+++ b/tools/fleet_faults.sh
@@ -4,9 +4,9 @@
 # "N passed, N failed" as the last line.
 #
 # usage: tools/fleet_faults.sh [CASE...] BUILD_DIR
-#   CASE is planned_stop, key_withdrawn, service_down, service_stale, paused_daemon, server_restart, server_leaving,
-#   server_asks_for_pause, server_reborn_leaving or data_centre_out; without a CASE all run. "service" in a name is the
-#   platform's configuration service, "server" a backend server.
+#   CASE is planned_stop, stop_of_slow_requests, key_withdrawn, service_down, service_stale, paused_daemon,
+#   server_restart, server_leaving, server_asks_for_pause, server_reborn_leaving or data_centre_out; without a CASE all
+#   run. "service" in a name is the platform's configuration service, "server" a backend server.
 # environment:
 #   FAULTS_PORT    first port of the shared fleet (32000); the demo's fleet is at +500. All must be below the ephemeral
 #                  port range, from which any outgoing connection may take a port.
@@ -14,7 +14,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-all_cases=(key_withdrawn service_stale service_down paused_daemon server_restart planned_stop server_leaving
+all_cases=(key_withdrawn service_stale service_down paused_daemon server_restart planned_stop stop_of_slow_requests
+    server_leaving
     server_asks_for_pause server_reborn_leaving data_centre_out)
 if (($# == 0)); then
     echo "usage: tools/fleet_faults.sh [CASE...] BUILD_DIR" >&2
@@ -321,6 +322,37 @@
     check_all_records
 }
 
+# Guards against requests that a stopping daemon takes although their servers are still at work when it exits. The servers
+# take 2.3 s, and the requests may take 3 s: their callers saw the connection close, and an order's outcome was unknown.
+case_stop_of_slow_requests() {
+    local order_mix=$folder/orders.mix refused account
+    read -r account _ <"$folder/accounts"
+    echo "{\"accounts\":[{\"name\":\"$account\",\"key\":\"demo-key-$account\",\"rate\":20}],
+           \"routes\":[{\"name\":\"o\",\"method\":\"POST\",\"path\":\"/orders\",\"weight\":1,\"idempotent\":false}]}" >"$order_mix"
+    sed -i 's/"stop_grace_ms":3000/"stop_grace_ms":6000/' "$folder/vm-1.json"
+    kill -HUP "${daemon_pids[0]}"
+    send_server_command 2 "slow?factor=1&add_ms=2300"
+    sleep 1
+    load_number=$((load_number + 1))
+    records=$folder/$load_number.records
+    "$build/bin/zinnia_load" --target "$ip:$((base_port + 10))" --mix "$order_mix" --duration 9 --rate 2.5 --spacing fixed \
+        --name "run$load_number" --record "$records" >"$folder/$load_number.report" 2>"$folder/$load_number.err" &
+    load_pid=$!
+    sleep 2
+    terminate_processes "${daemon_pids[0]}"
+    end_load
+    refused=$(grep -c 'outcome="stopping"' "$folder/vm-1.log" || true)
+    if ((refused == 0)); then add_failure "no request was refused by the stopping daemon, so the case tested nothing"; fi
+    # shellcheck disable=SC2046
+    set -- $(grep -c '"outcome":"answered"' "$records")
+    if (($1 < 5)); then add_failure "only $1 orders were answered before and during the stop"; fi
+    send_server_command 2 normal
+    sed -i 's/"stop_grace_ms":6000/"stop_grace_ms":3000/' "$folder/vm-1.json"
+    start_daemon 0
+    wait_until_ready 0 || add_failure "the restarted vm-1 did not become ready"
+    check_all_records
+}
+
 # Guards against requests in a data centre that is out of service; see tools/demo.sh.
 case_data_centre_out() {
     local code=0
