--- a/src/model/hub_links.hpp
+++ b/src/model/hub_links.hpp
@@ -17,7 +17,4 @@
 void request_grant(world& world, std::size_t daemon, const std::string& account,
                    std::function<void(std::optional<limits::grant>)> on_answer);
 
-/// Closes all connections of a process that ends. The peers learn of it by a message.
-void close_all_connections(world& world, std::size_t daemon);
-
 } // namespace zinniaferry::model
--- a/src/model/process.cpp
+++ b/src/model/process.cpp
@@ -1,3 +1,4 @@
+#include "model/hub_connections.hpp"
 #include "model/hub_links.hpp"
 #include "model/store_follower.hpp"
 #include "model/world.hpp"
