Fleet size: a daemon that starts cut off from the others does not take itself for the fleet

What operators saw: a daemon that was cut off from the others and restarted granted each account's whole rate from 3 s after its start, beside the hub of the others: 377 to 382 requests in 5 s where 320 are the bound.

Cause: a daemon counted itself as settled 3 s after its start, also if it had met no other daemon. The size of the fleet was then the number of members that it knew: one. Related paths with the same cause: a group of daemons that starts behind a partition (from 20 members on its pools had the whole rate at once), a hub that restarts on the small side while its subscribers remember the fleet, members that are cut off for longer than 30 s, and the members that may send to a cold server.

Now the size is known only with contact to the main part of the fleet: most seeds met, a hub that knows it, or a subscriber that states it (new field of the hello message; 0 from older daemons). A group without most seeds takes itself for the fleet after 13 s, so that a fleet whose seeds are down recovers; a lone daemon does not. If half of the members disappear at once, they stay known for 10 min instead of 30 s.

--- a/src/fleet/hub.capnp
+++ b/src/fleet/hub.capnp
@@ -29,6 +29,7 @@
     revision @3 :UInt64;
     acceptsCompressed @4 :Bool;  # The subscriber reads Compressed messages.
     linkMbps @5 :UInt32;  # 0 if not known.
+    membersKnown @6 :UInt32;  # The size of the fleet; 0 if the subscriber does not know it.
 }
 
 struct Report {
--- a/src/fleet/hub.capnp.h
+++ b/src/fleet/hub.capnp.h
@@ -72,7 +72,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eaed290eb65e3159, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(eaed290eb65e3159, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -428,6 +428,8 @@
 
   inline  ::uint32_t getLinkMbps() const;
 
+  inline  ::uint32_t getMembersKnown() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -482,6 +484,9 @@
   inline  ::uint32_t getLinkMbps();
   inline void setLinkMbps( ::uint32_t value);
 
+  inline  ::uint32_t getMembersKnown();
+  inline void setMembersKnown( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1524,6 +1529,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Hello::Reader::getMembersKnown() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Hello::Builder::getMembersKnown() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setMembersKnown( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Report::Reader::getPrimary() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/fleet/hub_choice.cpp
+++ b/src/fleet/hub_choice.cpp
@@ -156,6 +156,7 @@
     for (const member& entry : members)
     {
         add(entry.address, entry.link_mbps);
+        on_met(choice, entry.address);
     }
     std::sort(choice.candidates.begin() + static_cast<std::ptrdiff_t>(choice.seed_count),
               choice.candidates.end(), ranks_before);
@@ -227,6 +228,24 @@
     }
 }
 
+void on_met(hub_choice& choice, const std::string& address)
+{
+    if (hub_candidate* candidate = find(choice, address))
+    {
+        candidate->met = true;
+    }
+}
+
+bool has_met_most_seeds(const hub_choice& choice)
+{
+    const auto seeds_end =
+        choice.candidates.begin() + static_cast<std::ptrdiff_t>(choice.seed_count);
+    const auto met = std::count_if(choice.candidates.begin(), seeds_end,
+                                   [&](const hub_candidate& seed)
+                                   { return seed.met || seed.address == choice.own_address; });
+    return choice.seed_count == 0 || static_cast<std::size_t>(met) * 2 > choice.seed_count;
+}
+
 void on_grant_in_time(hub_choice& choice, const std::string& address)
 {
     if (hub_candidate* candidate = find(choice, address))
@@ -295,6 +314,7 @@
                        {"connected", entry.connected},
                        {"current", is_current(entry, now)},
                        {"slow", now < entry.slow_until},
+                       {"met", entry.met},
                        {"wanted", is_wanted(choice, entry.address, now)}});
     }
     return out;
--- a/src/fleet/hub_choice.hpp
+++ b/src/fleet/hub_choice.hpp
@@ -37,6 +37,7 @@
     std::uint32_t consecutive_failures = 0;
     std::uint32_t late_grants = 0; ///< In a row.
     core::time_point slow_until;   ///< Until then the primary hub only if there is no other.
+    bool met = false; ///< It has sent a message, or a hub has reported it, since the start.
 };
 
 /// The candidates in rank order, with the state of the connections to them.
@@ -82,6 +83,15 @@
 /// updates.
 void on_grant_late(hub_choice& choice, const std::string& address, core::time_point now);
 
+/// Records that the daemon at the address takes part in the fleet. Has no effect for an address
+/// that is not a candidate.
+void on_met(hub_choice& choice, const std::string& address);
+
+/// Returns whether more than half of the seeds have been met since the start, this daemon counted
+/// if it is a seed. True without seeds. Two groups of daemons that cannot reach each other do not
+/// both meet that many.
+bool has_met_most_seeds(const hub_choice& choice);
+
 /// Returns whether this daemon is one of its own hubs.
 bool is_hub(const hub_choice& choice, core::time_point now);
 
--- a/src/fleet/hub_messages.cpp
+++ b/src/fleet/hub_messages.cpp
@@ -41,6 +41,7 @@
         hello.setIncarnation(value.incarnation);
         hello.setRevision(value.revision);
         hello.setAcceptsCompressed(value.accepts_compressed);
+        hello.setMembersKnown(value.members_known);
     }
     void operator()(const report_message& value)
     {
@@ -166,7 +167,8 @@
             .self = {text(hello.getVm()), text(hello.getAddress()), hello.getLinkMbps()},
             .incarnation = hello.getIncarnation(),
             .revision = hello.getRevision(),
-            .accepts_compressed = hello.getAcceptsCompressed()};
+            .accepts_compressed = hello.getAcceptsCompressed(),
+            .members_known = hello.getMembersKnown()};
     }
     case wire::HubMessage::REPORT:
         return report_message{.primary = message.getReport().getPrimary(),
--- a/src/fleet/hub_messages.hpp
+++ b/src/fleet/hub_messages.hpp
@@ -33,6 +33,9 @@
     std::uint64_t incarnation = 0;   ///< Random; differs between two process starts on one VM.
     std::uint64_t revision = 0;      ///< Of the subscriber's replica; 0 for none.
     bool accepts_compressed = false; ///< The subscriber reads compressed messages.
+    /// Members of the fleet that the subscriber knows; 0 if it does not know the fleet's size. A
+    /// hub that starts again behind a network partition learns from it how large the fleet is.
+    std::uint32_t members_known = 0;
 
     bool operator==(const hello_message&) const = default;
 };
--- a/src/fleet/registry.cpp
+++ b/src/fleet/registry.cpp
@@ -1,7 +1,5 @@
 #include "fleet/registry.hpp"
 
-#include "fleet/hub_choice.hpp"
-
 #include <algorithm>
 
 namespace zinniaferry::fleet
@@ -12,11 +10,19 @@
 
 /// Time for which a disconnected member still counts as known.
 constexpr core::duration member_retention = std::chrono::seconds(30);
+/// The same of a number of members from which at least half have disappeared.
+constexpr core::duration majority_retention = std::chrono::minutes(10);
 /// All members subscribe to a new hub within this time.
 constexpr core::duration discovery_time = std::chrono::seconds(3);
+/// A group of daemons that has not met most seeds for this time takes itself for the whole fleet:
+/// the seeds may be out of date or down. Most network partitions are shorter.
+constexpr core::duration seed_wait = std::chrono::seconds(13);
 
 /// Lower bound on the fleet's size while some members may not have subscribed yet.
 constexpr std::size_t min_assumed_members = 20;
+/// Members that each known one stands for until contact with the main part of the fleet is
+/// confirmed.
+constexpr std::size_t assumed_members_per_known = 20;
 
 /// A member that no hub has reported for longer has left the fleet.
 constexpr core::duration member_cache_lifetime = std::chrono::seconds(5);
@@ -31,6 +37,27 @@
     return total;
 }
 
+bool is_contact_confirmed(const registry& registry)
+{
+    return registry.contact_confirmed_at != core::time_point();
+}
+
+// Returns whether every member that this daemon can reach has subscribed.
+bool is_settled(const registry& registry, core::time_point now)
+{
+    if (is_contact_confirmed(registry))
+    {
+        return now - registry.contact_confirmed_at >= discovery_time;
+    }
+    return !registry.members.empty() && now - registry.first_member_at >= seed_wait;
+}
+
+std::size_t members_known(const registry& registry, core::time_point now)
+{
+    const bool size_stated = now - registry.stated_size.largest_at <= member_retention;
+    return std::max(registry.members.size() + 1, size_stated ? registry.stated_size.largest : 0);
+}
+
 } // namespace
 
 void record_members(member_cache& cache, const std::vector<member>& members, core::time_point now)
@@ -56,6 +83,14 @@
 
 void on_hello(registry& registry, const hello_message& hello, core::time_point now)
 {
+    if (registry.first_member_at == core::time_point())
+    {
+        registry.first_member_at = now;
+    }
+    if (hello.members_known > 0)
+    {
+        largest_recent_size(registry.stated_size, hello.members_known, now);
+    }
     registered_member& entry = registry.members[hello.self.vm];
     if (entry.incarnation != hello.incarnation)
     {
@@ -108,8 +143,8 @@
 
 fleet_message make_fleet_summary(const registry& registry, core::time_point now)
 {
-    return {.members_known = static_cast<std::uint32_t>(registry.members.size() + 1),
-            .settled = now - registry.started >= discovery_time,
+    return {.members_known = static_cast<std::uint32_t>(members_known(registry, now)),
+            .settled = is_settled(registry, now),
             .selection_rate = total_selection_rate(registry)};
 }
 
@@ -137,20 +172,36 @@
 
 std::size_t largest_recent_size(known_size& size, std::size_t known, core::time_point now)
 {
-    if (known >= size.largest || now - size.largest_at > member_retention)
+    const bool most_remain = known * 2 > size.largest;
+    const core::duration retention = most_remain ? member_retention : majority_retention;
+    if (known >= size.largest || now - size.largest_at > retention)
     {
         size = {.largest = known, .largest_at = now};
     }
     return size.largest;
 }
 
-size_estimate estimate_fleet_size(known_size& recent, const fleet_message& own,
+void confirm_contact(registry& registry, const hub_choice& choice,
+                     const std::vector<const fleet_message*>& hubs, core::time_point now)
+{
+    const bool hub_knows_fleet = std::any_of(hubs.begin(), hubs.end(),
+                                             [](const fleet_message* hub)
+                                             { return hub->members_known > 0 && hub->settled; });
+    const bool in_touch =
+        has_met_most_seeds(choice) || hub_knows_fleet || registry.stated_size.largest > 0;
+    if (in_touch && !is_contact_confirmed(registry))
+    {
+        registry.contact_confirmed_at = now;
+    }
+}
+
+size_estimate estimate_fleet_size(known_size& recent, const registry& own,
                                   const std::vector<const fleet_message*>& hubs,
                                   core::time_point now)
 {
-    std::size_t known = own.members_known;
-    bool all_settled = own.settled;
-    bool any_settled = own.settled;
+    std::size_t known = members_known(own, now);
+    bool all_settled = is_settled(own, now);
+    bool any_settled = all_settled;
     for (const fleet_message* hub : hubs)
     {
         const bool has_reported = hub->members_known > 0;
@@ -159,8 +210,9 @@
         any_settled = any_settled || (has_reported && hub->settled);
     }
     known = largest_recent_size(recent, known, now);
-    return {.members_known = all_settled ? known : std::max(known, min_assumed_members),
-            .is_known = any_settled};
+    const std::size_t assumed = is_contact_confirmed(own) ? std::max(known, min_assumed_members)
+                                                          : known * assumed_members_per_known;
+    return {.members_known = all_settled ? known : assumed, .is_known = any_settled};
 }
 
 } // namespace zinniaferry::fleet
--- a/src/fleet/registry.hpp
+++ b/src/fleet/registry.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/time.hpp"
+#include "fleet/hub_choice.hpp"
 #include "fleet/hub_messages.hpp"
 
 #include <cstdint>
@@ -24,6 +25,14 @@
     float selection_rate = 0.0;    ///< As in its last report_message.
 };
 
+/// The largest number of known members in recent times. A daemon behind a network partition hears
+/// only of the members on its side, whose shares must not grow.
+struct known_size
+{
+    std::size_t largest = 0;
+    core::time_point largest_at; ///< When `largest` was last known.
+};
+
 /// The members that subscribed to this daemon.
 struct registry
 {
@@ -32,6 +41,11 @@
     core::time_point started;                                   ///< Start of this daemon.
     std::unordered_map<std::string, registered_member> members; ///< By VM, without this daemon.
     std::uint64_t members_version = 1; ///< Incremented when the subscribed members change.
+    known_size stated_size;            ///< Largest size of the fleet that subscribers stated.
+    core::time_point first_member_at;  ///< First subscription; the epoch before.
+    /// Since when this daemon has been in touch with the main part of the fleet, see
+    /// confirm_contact; the epoch before. It is kept while a network partition lasts.
+    core::time_point contact_confirmed_at;
 };
 
 /// Members that any hub reported to this daemon recently. A hub that has just taken over may know
@@ -73,17 +87,18 @@
 /// longer than a hub may be do not count: they have chosen another one.
 std::size_t count_primary_members(const registry& registry, core::time_point now);
 
-/// The largest number of known members in recent times. A daemon behind a network partition hears
-/// only of the members on its side, whose shares must not grow.
-struct known_size
-{
-    std::size_t largest = 0;
-    core::time_point largest_at; ///< When `largest` was last known.
-};
-
-/// Records a number of known members. Returns the largest one of the last 30 s. Not thread safe.
+/// Records a number of known members. Returns the largest one of the last 30 s, or of the last
+/// 10 min if `known` is at most half of it: more members than that rarely leave at once, so they
+/// are probably on the other side of a network partition. Not thread safe.
 std::size_t largest_recent_size(known_size& size, std::size_t known, core::time_point now);
 
+/// Records that this daemon is in touch with the main part of the fleet, if it is: it has met most
+/// seeds, a hub knows the fleet, or a subscriber stated its size. A daemon that starts cut off from
+/// the others knows no size of the fleet, and must not take itself, or the few that it meets, for
+/// all. `hubs` are the last messages of the hubs. Not thread safe.
+void confirm_contact(registry& registry, const hub_choice& choice,
+                     const std::vector<const fleet_message*>& hubs, core::time_point now);
+
 /// The size of the fleet, as far as it is known.
 struct size_estimate
 {
@@ -91,9 +106,9 @@
     bool is_known = false; ///< This daemon or a hub has run long enough to know every member.
 };
 
-/// Combines this daemon's own fleet message with the last one of each hub that it is connected to;
-/// a hub that has not reported has no known members. Not thread safe.
-size_estimate estimate_fleet_size(known_size& recent, const fleet_message& own,
+/// Combines this daemon's own registry with the last message of each hub that it is connected to; a
+/// hub that has not reported has no known members. Not thread safe.
+size_estimate estimate_fleet_size(known_size& recent, const registry& own,
                                   const std::vector<const fleet_message*>& hubs,
                                   core::time_point now);
 
--- a/src/model/fleet_view.cpp
+++ b/src/model/fleet_view.cpp
@@ -17,8 +17,10 @@
         hub_messages.push_back(&connection->last_fleet);
         fleet::record_members(process.member_cache, connection->members, now);
     }
-    const fleet::size_estimate size =
-        fleet::estimate_fleet_size(process.known_size, own, hub_messages, now);
+    fleet::confirm_contact(process.registry, process.hubs, hub_messages, now);
+    process.fleet_size =
+        fleet::estimate_fleet_size(process.known_size, process.registry, hub_messages, now);
+    const fleet::size_estimate& size = process.fleet_size;
     const bool own_primary = process.primary_hub == process.hubs.own_address;
     net::gateway& gateway = *process.gateway;
     limits::set_fleet_size(gateway.accounts,
--- a/src/model/hub_links.cpp
+++ b/src/model/hub_links.cpp
@@ -55,10 +55,12 @@
                   const fleet::hub_message& message)
 {
     connection->last_fleet = std::get<fleet::fleet_message>(message);
+    fleet::hub_choice& hubs = process_of(world, connection->subscriber).hubs;
+    fleet::on_met(hubs, world.daemons[connection->hub].identity.address);
     if (!connection->last_fleet.members.empty())
     {
         connection->members = connection->last_fleet.members;
-        fleet::set_members(process_of(world, connection->subscriber).hubs, connection->members);
+        fleet::set_members(hubs, connection->members);
     }
     apply_fleet_view(world, connection->subscriber);
 }
@@ -170,6 +172,7 @@
     const auto& hello = std::get<fleet::hello_message>(message);
     process& hub = process_of(world, connection->hub);
     fleet::on_hello(hub.registry, hello, world.queue.now);
+    fleet::on_met(hub.hubs, hello.self.address);
     apply_fleet_view(world, connection->hub);
     hub.subscribers.push_back(connection);
     const bool is_up_to_date = hello.revision != 0 && hello.revision == hub.replica.revision;
@@ -203,10 +206,13 @@
     connection->echoes.echoed_sent_at = world.queue.now;
     fleet::on_connected(subscriber.hubs, address, world.queue.now);
     const std::uint64_t revision = subscriber.replica.complete ? subscriber.replica.revision : 0;
+    const std::size_t stated_size =
+        subscriber.fleet_size.is_known ? subscriber.known_size.largest : 0;
     send_to_hub(world, connection,
                 fleet::hello_message{.self = world.daemons[daemon].identity,
                                      .incarnation = subscriber.number,
-                                     .revision = revision},
+                                     .revision = revision,
+                                     .members_known = static_cast<std::uint32_t>(stated_size)},
                 handle_hello);
     send_report(world, subscriber, address, connection);
 }
--- a/src/model/world.hpp
+++ b/src/model/world.hpp
@@ -65,6 +65,7 @@
     fleet::registry registry;
     fleet::member_cache member_cache;
     fleet::known_size known_size;
+    fleet::size_estimate fleet_size;
     std::unique_ptr<net::gateway> gateway;
     /// The configuration before the one in force, for injections.
     std::shared_ptr<const config::configuration_index> previous_configuration;
--- a/src/net/hub_links.cpp
+++ b/src/net/hub_links.cpp
@@ -113,6 +113,7 @@
     const fleet::hello_message subscriber_hello = *hello;
     const std::string vm = subscriber_hello.self.vm;
     fleet::on_hello(registry_, subscriber_hello, core::boot_clock_now());
+    fleet::on_met(choice_, subscriber_hello.self.address);
     report_fleet_view();
     log_.write("peers", "subscribed",
                {{"subscriber", vm}, {"revision", subscriber_hello.revision}});
@@ -333,7 +334,8 @@
     send(*hub, fleet::hello_message{.self = registry_.self,
                                     .incarnation = incarnation_,
                                     .revision = replica_.complete ? replica_.revision : 0,
-                                    .accepts_compressed = true});
+                                    .accepts_compressed = true,
+                                    .members_known = stated_fleet_size()});
     send_report(address, *hub);
     asio::co_spawn(io_, write_frames(hub), asio::detached);
     while (const auto message = co_await receive(*hub))
@@ -355,6 +357,7 @@
     else if (const auto* fleet = std::get_if<fleet::fleet_message>(&message))
     {
         hub.last_fleet = *fleet;
+        fleet::on_met(choice_, address);
         if (!fleet->members.empty())
         {
             hub.members = fleet->members;
@@ -448,26 +451,41 @@
         }
         fleet::record_members(member_cache_, hub->members, now);
     }
-    const fleet::size_estimate size =
-        fleet::estimate_fleet_size(known_size_, own, hub_messages, now);
+    fleet::confirm_contact(registry_, choice_, hub_messages, now);
+    const bool was_known = fleet_size_.is_known;
+    fleet_size_ = fleet::estimate_fleet_size(known_size_, registry_, hub_messages, now);
+    if (fleet_size_.is_known != was_known)
+    {
+        log_.write("peers", fleet_size_.is_known ? "fleet_size_known" : "fleet_size_unknown",
+                   {{"members", fleet_size_.members_known},
+                    {"met_most_seeds", fleet::has_met_most_seeds(choice_)}});
+    }
     fleet_view view;
     view.members = fleet::recent_members(member_cache_, now);
-    view.members_known = size.members_known;
+    view.members_known = fleet_size_.members_known;
     view.primary_members = fleet::count_primary_members(registry_, now) +
                            (primary_hub_ == choice_.own_address ? 1 : 0);
     view.hub_reachable = primary_hub_.has_value();
     view.own_selection_rate = registry_.own_selection_rate;
     view.fleet_selection_rate = fleet_selection_rate;
-    view.is_size_known = size.is_known;
+    view.is_size_known = fleet_size_.is_known;
     callbacks_.on_fleet_view(view);
 }
 
+// The largest size is stated, not one that is only assumed while a hub does not know the fleet.
+std::uint32_t hub_links::stated_fleet_size() const
+{
+    return fleet_size_.is_known ? static_cast<std::uint32_t>(known_size_.largest) : 0;
+}
+
 boost::json::object hub_links::dump() const
 {
     const core::time_point now = core::boot_clock_now();
     boost::json::object out;
     out["subscribers"] = subscribers_.size();
     out["is_hub"] = fleet::is_hub(choice_, now);
+    out["fleet_size"] = fleet_size_.members_known;
+    out["is_fleet_size_known"] = fleet_size_.is_known;
     out["candidates"] = fleet::dump(choice_, now);
     out["bytes_in"] = counters_.bytes_in;
     out["bytes_out"] = counters_.bytes_out;
--- a/src/net/hub_links.hpp
+++ b/src/net/hub_links.hpp
@@ -133,6 +133,8 @@
                                    const fleet::update_message& update);
     static void notify(link& subscriber);
     void report_fleet_view();
+    /// Returns the size of the fleet for hello messages; 0 if it is not known.
+    std::uint32_t stated_fleet_size() const;
     void send(link& to, const fleet::hub_message& message,
               fleet::compression mode = fleet::compression::off);
     asio::awaitable<std::optional<fleet::hub_message>> receive(link& from);
@@ -148,6 +150,7 @@
     fleet::registry registry_;
     fleet::member_cache member_cache_;
     fleet::known_size known_size_;
+    fleet::size_estimate fleet_size_;
     std::unordered_set<link_pointer> subscribers_;
     std::unordered_map<std::string, link_pointer> hubs_; ///< By address.
     shared_update shared_update_;
--- a/test/correctness/fleet/hub_choice_test.cpp
+++ b/test/correctness/fleet/hub_choice_test.cpp
@@ -232,7 +232,7 @@
 // counts a restarted member twice.
 TEST(registry, disconnected_members_stay_known_for_the_retention_time)
 {
-    registry hub{.self = {"vm-0", "m0"}, .started = start};
+    registry hub{.self = {"vm-0", "m0"}, .started = start, .contact_confirmed_at = start};
     for (const member& each : members(4))
     {
         if (each.vm != "vm-0")
@@ -321,9 +321,9 @@
 {
     known_size size;
     EXPECT_EQ(largest_recent_size(size, 9, start), 9U);
-    EXPECT_EQ(largest_recent_size(size, 2, start + 30s), 9U);
-    EXPECT_EQ(largest_recent_size(size, 2, start + 31s), 2U);
-    EXPECT_EQ(largest_recent_size(size, 5, start + 32s), 5U);
+    EXPECT_EQ(largest_recent_size(size, 5, start + 30s), 9U);
+    EXPECT_EQ(largest_recent_size(size, 5, start + 31s), 5U);
+    EXPECT_EQ(largest_recent_size(size, 7, start + 32s), 7U);
 }
 
 } // namespace
