Callers: write nothing after the header of a response without a body

What callers saw: a server answered HEAD with the header fields of GET, the chunked coding among them, and the daemon wrote the last chunk of an empty body after the header. On a kept connection these bytes stood where the next response was due.

Cause: the body was cleared, and the serializer wrote the message with its coding. The same held for 304 responses. Now only the header of such a response is written, whatever it states.

--- a/src/net/caller_session.cpp
+++ b/src/net/caller_session.cpp
@@ -77,8 +77,10 @@
         });
 }
 
+// Without `with_body` only the header is written, whatever coding it states: the last chunk of an
+// empty body would be taken for the beginning of the next response.
 asio::awaitable<bool> write_response(caller_connection& connection, http_response& response,
-                                     bool keep_alive)
+                                     bool keep_alive, bool with_body)
 {
     // After a request whose framing is ambiguous, the next bytes may belong to it. Its response
     // therefore states that the connection closes.
@@ -86,7 +88,15 @@
     response.keep_alive(keep_alive);
     connection.timer.expires_after(write_timeout);
     error_code error;
-    co_await http::async_write(connection.socket, response, redirect_error_to(error));
+    if (with_body)
+    {
+        co_await http::async_write(connection.socket, response, redirect_error_to(error));
+    }
+    else
+    {
+        http::response_serializer<http::string_body> serializer(response);
+        co_await http::async_write_header(connection.socket, serializer, redirect_error_to(error));
+    }
     connection.timer.clear();
     co_return !error && keep_alive;
 }
@@ -176,12 +186,9 @@
     {
         co_return false;
     }
-    if (message.method() == http::verb::head)
-    {
-        response->body().clear();
-    }
-    co_return co_await write_response(*connection, *response,
-                                      message.keep_alive() && !gateway.close_after_response);
+    const bool with_body = has_body(*response, message.method() == http::verb::head);
+    co_return co_await write_response(
+        *connection, *response, message.keep_alive() && !gateway.close_after_response, with_body);
 }
 
 // Responds to a request that could not be parsed. Sends nothing if the connection failed or ended.
@@ -199,7 +206,7 @@
         "requests", "unreadable",
         {{"reason", request::to_string(refusal.reason)}, {"detail", error.message()}});
     http_response response = make_refusal_response(refusal, gateway.profile, {});
-    co_await write_response(connection, response, false);
+    co_await write_response(connection, response, false, true);
     co_await close_gracefully(connection);
 }
 
--- a/src/net/message_rules.cpp
+++ b/src/net/message_rules.cpp
@@ -175,11 +175,15 @@
     }
 }
 
+bool has_body(const http_response& response, bool is_head)
+{
+    return !is_head && response.result() != http::status::no_content &&
+           response.result() != http::status::not_modified;
+}
+
 void ensure_framed(http_response& response, bool is_head)
 {
-    const bool has_no_body = is_head || response.result() == http::status::no_content ||
-                             response.result() == http::status::not_modified;
-    if (!has_no_body && !response.chunked() && !response.has_content_length())
+    if (has_body(response, is_head) && !response.chunked() && !response.has_content_length())
     {
         response.content_length(response.body().size());
     }
--- a/src/net/message_rules.hpp
+++ b/src/net/message_rules.hpp
@@ -68,6 +68,10 @@
 /// its load and how long it wants nothing. Not thread safe.
 void remove_server_headers(http_response& response, const http_profile& profile);
 
+/// Returns whether a response has a body, whatever length or coding its header states. `is_head` is
+/// whether it responds to a HEAD request. Thread safe.
+bool has_body(const http_response& response, bool is_head);
+
 /// States the length of a response that would otherwise end with its connection, as the caller
 /// could not tell a response that is cut off when the daemon ends from a complete one. `is_head` is
 /// whether it responds to a HEAD request. Precondition: the body is complete. Not thread safe.
--- a/test/correctness/net/request_handler_test.cpp
+++ b/test/correctness/net/request_handler_test.cpp
@@ -133,6 +133,36 @@
     EXPECT_THAT(to_head, Not(HasSubstr("Content-Length")));
 }
 
+// Guards against bytes that belong to no response: the header of a response without a body may
+// state the chunked coding, and the daemon wrote the last chunk of an empty body after it.
+TEST(request_handler, nothing_follows_the_header_of_a_response_without_a_body)
+{
+    const std::string chunked_header =
+        std::string(request_id_line) + signature_line + "Transfer-Encoding: chunked\r\n\r\n";
+    for (const std::string method : {"HEAD", "GET"})
+    {
+        const std::string status = method == "HEAD" ? "200 OK" : "304 Not Modified";
+        raw_server server(
+            [&](const std::string& received)
+            {
+                return received.starts_with("DELETE ") ? good_response
+                                                       : response_text(status, chunked_header);
+            });
+        const front_end daemon(one_server_configuration(server.address()),
+                               platform::make_http_profile());
+        // Without a key, so that no account's limit applies.
+        const std::string first =
+            method + " /open HTTP/1.1\r\nHost: x\r\n" + request_id_line + "\r\n";
+        const std::string second = "DELETE /open HTTP/1.1\r\nHost: x\r\n" +
+                                   std::string(request_id_line) + "Connection: close\r\n\r\n";
+        const std::string out = daemon.exchange(first + second);
+        const std::size_t end_of_first = out.find("\r\n\r\n");
+        ASSERT_NE(end_of_first, std::string::npos) << method;
+        EXPECT_THAT(out.substr(end_of_first + 4), StartsWith("HTTP/1.1 200 ")) << method;
+        EXPECT_THAT(out, HasSubstr("\r\n\r\nhello")) << method;
+    }
+}
+
 // Guards against taking a late response to an earlier request for the response to this one, and
 // against discarding the right response that follows it.
 TEST(request_handler, a_response_to_another_request_is_skipped)
