--- a/src/net/hub_links.hpp
+++ b/src/net/hub_links.hpp
@@ -123,6 +123,7 @@
     void send_fleet(link& subscriber);
     void answer_grant_request(link& subscriber, const std::string& vm,
                               const fleet::ask_message& request);
+    /// Fills this daemon's pools and takes requests of the account from them.
     limits::grant take_from_pool(const std::string& account);
     asio::awaitable<void> subscribe(std::string address);
     asio::awaitable<void> receive_from_hub(std::string address, link_pointer hub);
