--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace zinniaferry::net
 {
@@ -199,6 +200,10 @@
     gateway.configuration = std::make_shared<const config::configuration_index>(
         config::make_configuration_index(std::move(config)));
     erase_dropped(gateway);
+    for (const std::function<void()>& notify : std::exchange(gateway.on_first_configuration, {}))
+    {
+        notify();
+    }
     return true;
 }
 
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -68,6 +68,9 @@
     const gateway_options options;
     std::shared_ptr<const config::configuration_index>
         configuration; ///< In force; null before the first.
+    /// Called when the first configuration comes into force, and cleared then.
+    std::vector<std::function<void()>> on_first_configuration;
+    const core::time_point started_at = core::boot_clock_now();
     /// All versions that were published before this time are known.
     core::time_point configuration_current_as_of;
     /// The latest published configuration could not be decoded, so the one in force is outdated.
--- a/src/net/request_handler.cpp
+++ b/src/net/request_handler.cpp
@@ -1,5 +1,6 @@
 #include "net/request_handler.hpp"
 
+#include "admission/startup_wait.hpp"
 #include "net/await_error.hpp"
 #include "net/request_log.hpp"
 #include "request/hedging.hpp"
@@ -80,6 +81,7 @@
         co_return request::refusal{.reason = *reason};
     }
     description_ = std::get<request_description>(described);
+    co_await wait_for_configuration();
     if (const auto refusal = resolve_route_and_account())
     {
         co_return refusal;
@@ -117,6 +119,31 @@
     co_return std::nullopt;
 }
 
+// Waits for the first configuration, for as long as one is expected soon.
+asio::awaitable<void> request_handler::wait_for_configuration()
+{
+    const core::time_point wait_end =
+        admission::configuration_wait_end({.daemon_started_at = gateway_.started_at,
+                                           .arrived_at = arrived_,
+                                           .time_left = description_.time_left});
+    if (gateway_.configuration || core::boot_clock_now() >= wait_end)
+    {
+        co_return;
+    }
+    gateway_.on_first_configuration.push_back(
+        [waiting = weak_from_this()]
+        {
+            if (const auto handler = waiting.lock())
+            {
+                handler->notify();
+            }
+        });
+    while (!gateway_.configuration && !caller_gone_ && core::boot_clock_now() < wait_end)
+    {
+        co_await wait_until(wait_end);
+    }
+}
+
 // Looks up the route and the account in the configuration in force. If that configuration refuses
 // the request, the route and account of an earlier configuration are kept.
 std::optional<request::refusal> request_handler::resolve_route_and_account()
--- a/src/net/request_handler.hpp
+++ b/src/net/request_handler.hpp
@@ -37,6 +37,7 @@
     /// Validates the request, looks up its route and account and applies the rate limit. Returns
     /// the refusal if the request must not be forwarded.
     asio::awaitable<std::optional<request::refusal>> admit();
+    asio::awaitable<void> wait_for_configuration();
     std::optional<request::refusal> resolve_route_and_account();
     /// Sends the request to backend servers until one responds or no further attempt is allowed.
     asio::awaitable<http_response> forward();
