zinniactl check: entries that no request can use, and limits that contradict each other

The operators asked for a check of a configuration before it is sent. The reader refuses what is invalid; a region without a data centre, an account without a key, a service without a route or without a usable server, an objective above its timeout, more attempts than servers, fewer connections than slots, a burst that takes over 10 min to save up and a split that names a service twice were accepted without a word.

A prefix can hide no other one, as the longest that matches is used; a weight of 0 is refused by the reader. Not begun: comparing with the version in force asked from a daemon; zinniactl diff compares two files.

--- a/apps/zinniactl.cpp
+++ b/apps/zinniactl.cpp
@@ -22,8 +22,9 @@
     cxxopts::Options options("zinniactl",
                              "Checks configurations, reads the state of daemons and explains the "
                              "outcome of a request by their logs.\n"
-                             "Exit codes: 0 for success; 1 for a difference, a daemon that does "
-                             "not answer or a request that is not in the logs; 2 for invalid "
+                             "Exit codes: 0 for success; 1 for a difference, a configuration with "
+                             "entries that cannot be meant, a daemon that does not answer or a "
+                             "request that is not in the logs; 2 for invalid "
                              "input.\n");
     options.positional_help(usage);
     options.add_options()("json", "print JSON")(
--- a/src/net/operator_commands.cpp
+++ b/src/net/operator_commands.cpp
@@ -2,6 +2,7 @@
 
 #include "config/address.hpp"
 #include "config/diff.hpp"
+#include "config/findings.hpp"
 #include "config/printer.hpp"
 #include "config/reader.hpp"
 #include "explain/printer.hpp"
@@ -94,22 +95,31 @@
     {
         servers += service.servers.size();
     }
+    const std::vector<config::finding> findings = config::find_problems(config);
+    const int exit_code = findings.empty() ? exit_ok : exit_difference;
     if (options.as_json)
     {
         const json::object summary{{"valid", true},
+                                   {"findings", config::to_json(findings)},
                                    {"version", config.version},
                                    {"digest", digest},
                                    {"accounts", config.accounts.size()},
                                    {"services", config.services.size()},
                                    {"servers", servers},
                                    {"routes", config.routes.size()}};
-        return command_result{.output = json::serialize(summary) + "\n"};
+        return command_result{.exit_code = exit_code, .output = json::serialize(summary) + "\n"};
     }
-    return command_result{
+    command_result out{
+        .exit_code = exit_code,
         .output = fmt::format("{}: version {} is valid: {} accounts, {} services, {} servers, {} "
                               "routes, digest {}\n",
                               file, config.version, config.accounts.size(), config.services.size(),
                               servers, config.routes.size(), digest)};
+    for (const config::finding& finding : findings)
+    {
+        out.output += config::to_string(finding) + "\n";
+    }
+    return out;
 }
 
 // Returns whether a value is printed on the line of its name: scalars, and empty arrays and
--- a/src/net/operator_commands.hpp
+++ b/src/net/operator_commands.hpp
@@ -11,7 +11,8 @@
 
 /// Exit codes of `zinniactl`.
 inline constexpr int exit_ok = 0;
-/// A difference was found, a daemon did not answer, or a request is not in the logs.
+/// A difference or a questionable entry was found, a daemon did not answer, or a request is not in
+/// the logs.
 inline constexpr int exit_difference = 1;
 inline constexpr int exit_invalid_input = 2; ///< An invalid file, address or command line.
 
@@ -36,7 +37,8 @@
     core::duration timeout = std::chrono::seconds(5); ///< For each request.
 };
 
-/// Validates a configuration or settings file. Exit codes: ok, invalid input. Thread safe.
+/// Validates a configuration or settings file, and shows what is valid in a configuration but
+/// cannot be meant. Exit codes: ok, difference with such findings, invalid input. Thread safe.
 command_result run_check(const std::string& file, document_kind kind,
                          const command_options& options);
 
