Admission: a service's load, measured by each daemon

The daemons of a fleet see a few requests a second each, too few to tell from them whether a service is full. The gateway holds the meters and the fleet's load. Idle meters of services that left the configuration are erased; an end that such a meter did not begin has no effect.

The whole test program was not run on this commit.

--- a/src/admission/service_load.hpp
+++ b/src/admission/service_load.hpp
@@ -69,7 +69,8 @@
 void on_arrival(load_meter& meter, std::uint32_t priority, core::time_point now);
 /// Records that a request was refused because no server has capacity for it.
 void on_rejected(load_meter& meter, std::uint32_t priority, core::time_point now);
-/// Records that a request begins and ends to wait for a server. Each begin has one end.
+/// Records that a request begins and ends to wait for a server. Each begin has one end. An end
+/// whose begin another meter counted has no effect on a count of 0.
 void on_wait_began(load_meter& meter);
 void on_wait_ended(load_meter& meter);
 /// Records that a request was sent to a server, and that the attempt ended. `completed` is whether
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -156,6 +156,13 @@
                   [&](const auto& entry) { return !routes.contains(entry.first); });
     std::erase_if(gateway.overloads,
                   [&](const auto& entry) { return !index.services.contains(entry.first); });
+    std::erase_if(gateway.load_meters,
+                  [&](const auto& entry)
+                  {
+                      const admission::service_load& load = entry.second.averages;
+                      const bool is_idle = load.running == 0.0 && load.waiting == 0.0;
+                      return is_idle && !index.services.contains(entry.first);
+                  });
 }
 
 } // namespace
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "admission/overload.hpp"
+#include "admission/service_load.hpp"
 #include "admission/stated_deadlines.hpp"
 #include "admission/stop_schedule.hpp"
 #include "config/index.hpp"
@@ -92,6 +93,10 @@
     /// By host and prefix. Requests in progress share ownership of those of a dropped route.
     std::unordered_map<std::string, std::shared_ptr<route_statistics>> route_statistics_by_name;
     std::unordered_map<std::string, admission::overload> overloads; ///< By service.
+    /// This daemon's load of each service. References are not kept across a suspension, as the
+    /// meter of a service that left the configuration is erased once it is idle.
+    std::unordered_map<std::string, admission::load_meter> load_meters;
+    admission::fleet_load fleet_load;                   ///< As the primary hub last sent it.
     std::unordered_set<std::string> configured_servers; ///< Ids of the configuration's servers.
     std::size_t requests_in_progress = 0;
     bool close_after_response = false; ///< Close callers' connections after the current response.
