--- a/src/admission/service_load.hpp
+++ b/src/admission/service_load.hpp
@@ -48,7 +48,7 @@
 struct fleet_load
 {
     std::unordered_map<std::string, service_load> by_service;
-    core::time_point as_of; ///< When the hub's message was received; the epoch before the first.
+    core::time_point as_of; ///< The hub sent it after this time; the epoch before the first.
 };
 
 /// Returns the fleet's load of a service. Returns null if nothing is known of it, or if it is too
--- a/src/fleet/hub.capnp
+++ b/src/fleet/hub.capnp
@@ -32,6 +32,16 @@
     membersKnown @6 :UInt32;  # The size of the fleet; 0 if the subscriber does not know it.
 }
 
+struct ServiceLoad {
+    # Load of a service, see admission::service_load. An entry with a value out of range is ignored.
+    service @0 :Text;
+    running @1 :UInt32;
+    waiting @2 :UInt32;
+    completions @3 :UInt32;  # In 100 s.
+    arrivals @4 :List(UInt32);  # In 100 s, by priority; the zeros at the end are left out.
+    rejections @5 :List(UInt32);  # As arrivals.
+}
+
 struct Report {
     # Subscriber to hub, periodically: whether this hub grants the subscriber's account requests, and how many backend
     # servers the subscriber selects in a second. The hub repeats the latest number in its updates.
@@ -39,6 +49,7 @@
     selectionRate @1 :Float32;
     number @2 :UInt64;
     primaryTimeUs @3 :UInt32 = 0xffffffff;  # See report_message; the default is sent by older versions.
+    loads @4 :List(ServiceLoad);  # Of the subscriber; older versions send none.
 }
 
 struct Ask {
@@ -62,6 +73,7 @@
     ageUs @2 :UInt64;
     changes @3 :List(Change);
     lastReport @4 :UInt64;  # Number of the subscriber's latest report; 0 before the first.
+    loads @5 :List(ServiceLoad);  # Sums over the hub and its subscribers; none to those that use another primary hub.
 }
 
 struct Fleet {
--- a/src/fleet/hub.capnp.h
+++ b/src/fleet/hub.capnp.h
@@ -19,6 +19,7 @@
 CAPNP_DECLARE_SCHEMA(a4fc2a372667c4f5);
 CAPNP_DECLARE_SCHEMA(fe5c020307056a8c);
 CAPNP_DECLARE_SCHEMA(eaed290eb65e3159);
+CAPNP_DECLARE_SCHEMA(a13ab8ee419e07a6);
 CAPNP_DECLARE_SCHEMA(e00f6817d1c01cc7);
 CAPNP_DECLARE_SCHEMA(efe9a8329c46f6e3);
 CAPNP_DECLARE_SCHEMA(ec2d527241332842);
@@ -79,6 +80,21 @@
   };
 };
 
+struct ServiceLoad {
+  ServiceLoad() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a13ab8ee419e07a6, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Report {
   Report() = delete;
 
@@ -87,7 +103,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e00f6817d1c01cc7, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(e00f6817d1c01cc7, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -132,7 +148,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(91e1793972b28854, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(91e1793972b28854, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -513,6 +529,124 @@
 };
 #endif  // !CAPNP_LITE
 
+class ServiceLoad::Reader {
+public:
+  typedef ServiceLoad Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline  ::uint32_t getRunning() const;
+
+  inline  ::uint32_t getWaiting() const;
+
+  inline  ::uint32_t getCompletions() const;
+
+  inline bool hasArrivals() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getArrivals() const;
+
+  inline bool hasRejections() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getRejections() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServiceLoad::Builder {
+public:
+  typedef ServiceLoad Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::uint32_t getRunning();
+  inline void setRunning( ::uint32_t value);
+
+  inline  ::uint32_t getWaiting();
+  inline void setWaiting( ::uint32_t value);
+
+  inline  ::uint32_t getCompletions();
+  inline void setCompletions( ::uint32_t value);
+
+  inline bool hasArrivals();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getArrivals();
+  inline void setArrivals( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setArrivals(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initArrivals(unsigned int size);
+  inline void adoptArrivals(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownArrivals();
+
+  inline bool hasRejections();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getRejections();
+  inline void setRejections( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRejections(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initRejections(unsigned int size);
+  inline void adoptRejections(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownRejections();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServiceLoad::Pipeline {
+public:
+  typedef ServiceLoad Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Report::Reader {
 public:
   typedef Report Reads;
@@ -538,6 +672,9 @@
 
   inline  ::uint32_t getPrimaryTimeUs() const;
 
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -578,6 +715,13 @@
   inline  ::uint32_t getPrimaryTimeUs();
   inline void setPrimaryTimeUs( ::uint32_t value);
 
+  inline bool hasLoads();
+  inline  ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -809,6 +953,9 @@
 
   inline  ::uint64_t getLastReport() const;
 
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -856,6 +1003,13 @@
   inline  ::uint64_t getLastReport();
   inline void setLastReport( ::uint64_t value);
 
+  inline bool hasLoads();
+  inline  ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1553,6 +1707,158 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ServiceLoad::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceLoad::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServiceLoad::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServiceLoad::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServiceLoad::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServiceLoad::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServiceLoad::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServiceLoad::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t ServiceLoad::Reader::getRunning() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServiceLoad::Builder::getRunning() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServiceLoad::Builder::setRunning( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServiceLoad::Reader::getWaiting() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServiceLoad::Builder::getWaiting() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServiceLoad::Builder::setWaiting( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServiceLoad::Reader::getCompletions() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServiceLoad::Builder::getCompletions() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ServiceLoad::Builder::setCompletions( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServiceLoad::Reader::hasArrivals() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceLoad::Builder::hasArrivals() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader ServiceLoad::Reader::getArrivals() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder ServiceLoad::Builder::getArrivals() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ServiceLoad::Builder::setArrivals( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void ServiceLoad::Builder::setArrivals(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder ServiceLoad::Builder::initArrivals(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ServiceLoad::Builder::adoptArrivals(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> ServiceLoad::Builder::disownArrivals() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ServiceLoad::Reader::hasRejections() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceLoad::Builder::hasRejections() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader ServiceLoad::Reader::getRejections() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder ServiceLoad::Builder::getRejections() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ServiceLoad::Builder::setRejections( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void ServiceLoad::Builder::setRejections(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder ServiceLoad::Builder::initRejections(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ServiceLoad::Builder::adoptRejections(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> ServiceLoad::Builder::disownRejections() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Report::Reader::getPrimary() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1609,6 +1915,40 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value, 4294967295u);
 }
 
+inline bool Report::Reader::hasLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Report::Builder::hasLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader Report::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder Report::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::setLoads( ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder Report::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Report::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>> Report::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Ask::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1803,6 +2143,40 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Update::Reader::hasLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Update::Builder::hasLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader Update::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder Update::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Update::Builder::setLoads( ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder Update::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Update::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>> Update::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t Fleet::Reader::getMembersKnown() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/fleet/hub_messages.cpp
+++ b/src/fleet/hub_messages.cpp
@@ -2,6 +2,7 @@
 
 #include "core/compression.hpp"
 #include "fleet/hub.capnp.h"
+#include "fleet/load_encoding.hpp"
 
 #include <boost/endian/conversion.hpp>
 #include <capnp/message.h>
@@ -71,6 +72,7 @@
         report.setSelectionRate(value.selection_rate);
         report.setNumber(value.number);
         report.setPrimaryTimeUs(write_time(value.primary_time));
+        write_loads(report.initLoads(static_cast<unsigned>(value.loads.size())), value.loads);
     }
     void operator()(const update_message& value)
     {
@@ -80,6 +82,7 @@
         update.setAgeUs(static_cast<std::uint64_t>(
             std::chrono::duration_cast<std::chrono::microseconds>(value.age).count()));
         update.setLastReport(value.last_report);
+        write_loads(update.initLoads(static_cast<unsigned>(value.loads.size())), value.loads);
         auto changes = update.initChanges(static_cast<unsigned>(value.changes.size()));
         for (unsigned i = 0; i < changes.size(); ++i)
         {
@@ -142,6 +145,7 @@
     out.complete = update.getComplete();
     out.last_report = update.getLastReport();
     out.age = std::chrono::microseconds(std::min(update.getAgeUs(), max_age_us));
+    out.loads = read_loads(update.getLoads());
     for (const auto& change : update.getChanges())
     {
         entry_change entry{.key = text(change.getKey()), .revision = change.getRevision()};
@@ -197,7 +201,8 @@
         return report_message{.primary = message.getReport().getPrimary(),
                               .selection_rate = read_rate(message.getReport().getSelectionRate()),
                               .number = message.getReport().getNumber(),
-                              .primary_time = read_time(message.getReport().getPrimaryTimeUs())};
+                              .primary_time = read_time(message.getReport().getPrimaryTimeUs()),
+                              .loads = read_loads(message.getReport().getLoads())};
     case wire::HubMessage::UPDATE:
         return read_update(message.getUpdate());
     case wire::HubMessage::FLEET:
--- a/src/fleet/hub_messages.hpp
+++ b/src/fleet/hub_messages.hpp
@@ -1,6 +1,7 @@
 /// Messages between a hub and its subscribers, and their Cap'n Proto encoding (hub.capnp).
 #pragma once
 
+#include "admission/service_load.hpp"
 #include "core/error.hpp"
 #include "fleet/replica.hpp"
 
@@ -41,6 +42,15 @@
     bool operator==(const hello_message&) const = default;
 };
 
+/// The load of a service as a daemon or a hub states it. Rates are sent in steps of 0.01/s.
+struct stated_load
+{
+    std::string service;
+    admission::service_load load;
+
+    bool operator==(const stated_load&) const = default;
+};
+
 /// Subscriber to hub: sent about once a second, and at once when the primary hub changes.
 struct report_message
 {
@@ -50,6 +60,7 @@
     /// Time for which the subscriber used this hub as its primary since it last stated such a time,
     /// so that no time is stated to two hubs. Nothing from daemons of older versions.
     std::optional<core::duration> primary_time;
+    std::vector<stated_load> loads; ///< Of the services that the subscriber used lately.
 
     bool operator==(const report_message&) const = default;
 };
@@ -82,6 +93,8 @@
     core::duration age{};          ///< The hub knew all changes made until this long ago.
     std::uint64_t last_report = 0; ///< Number of the subscriber's latest report; 0 before it.
     std::vector<entry_change> changes;
+    /// Sums over the hub and its subscribers, in updates without changes; see load_sums.
+    std::vector<stated_load> loads;
 
     bool operator==(const update_message&) const = default;
 };
--- a/src/fleet/registry.cpp
+++ b/src/fleet/registry.cpp
@@ -152,6 +152,8 @@
     }
     found->second.primary = report.primary;
     found->second.selection_rate = report.selection_rate;
+    found->second.loads = report.loads;
+    found->second.loads_at = now;
     found->second.last_heard = now;
     return changed;
 }
@@ -279,4 +281,9 @@
     return {.members_known = all_settled ? known : assumed, .is_known = any_settled};
 }
 
+std::uint32_t size_to_state(const known_size& recent, const size_estimate& estimate)
+{
+    return estimate.is_known ? static_cast<std::uint32_t>(recent.largest) : 0;
+}
+
 } // namespace zinniaferry::fleet
--- a/src/fleet/registry.hpp
+++ b/src/fleet/registry.hpp
@@ -26,6 +26,8 @@
     core::duration stated_time{};   ///< Stated as primary time, and not counted yet.
     core::duration elapsed_time{};  ///< Since the time that was counted last.
     float selection_rate = 0.0;     ///< As in its last report_message.
+    std::vector<stated_load> loads; ///< As in its last report_message.
+    core::time_point loads_at;      ///< Time of that message; the epoch before.
 };
 
 /// The largest number of known members in recent times. A daemon behind a network partition hears
@@ -41,6 +43,7 @@
 {
     member self;
     float own_selection_rate = 0.0;                             ///< Of this daemon itself.
+    std::vector<stated_load> own_loads;                         ///< Of this daemon itself.
     core::time_point started;                                   ///< Start of this daemon.
     std::unordered_map<std::string, registered_member> members; ///< By VM, without this daemon.
     std::uint64_t members_version = 1; ///< Incremented when the subscribed members change.
@@ -133,4 +136,8 @@
                                   const std::vector<const fleet_message*>& hubs,
                                   core::time_point now);
 
+/// Returns the size of the fleet that a daemon states in its hello_message: the largest recent one,
+/// and 0 if the size is only assumed. Thread safe.
+std::uint32_t size_to_state(const known_size& recent, const size_estimate& estimate);
+
 } // namespace zinniaferry::fleet
--- a/src/model/hub_links.cpp
+++ b/src/model/hub_links.cpp
@@ -217,13 +217,13 @@
     connection->echoes.echoed_sent_at = world.queue.now;
     fleet::on_connected(subscriber.hubs, address, world.queue.now);
     const std::uint64_t revision = subscriber.replica.complete ? subscriber.replica.revision : 0;
-    const std::size_t stated_size =
-        subscriber.fleet_size.is_known ? subscriber.known_size.largest : 0;
+    const std::uint32_t stated_size =
+        fleet::size_to_state(subscriber.known_fleet.recent_size, subscriber.known_fleet.size);
     send_to_hub(world, connection,
                 fleet::hello_message{.self = world.daemons[daemon].identity,
                                      .incarnation = subscriber.number,
                                      .revision = revision,
-                                     .members_known = static_cast<std::uint32_t>(stated_size)},
+                                     .members_known = stated_size},
                 handle_hello);
     send_report(world, subscriber, address, connection);
 }
--- a/src/model/world.hpp
+++ b/src/model/world.hpp
@@ -8,6 +8,7 @@
 /// entries, probe budgets, the stop of a process by a signal, and the reload of settings.
 #pragma once
 
+#include "fleet/fleet_view.hpp"
 #include "fleet/hub_choice.hpp"
 #include "fleet/primary_statement.hpp"
 #include "fleet/registry.hpp"
@@ -65,9 +66,7 @@
     fleet::replica replica;
     fleet::hub_choice hubs;
     fleet::registry registry;
-    fleet::member_cache member_cache;
-    fleet::known_size known_size;
-    fleet::size_estimate fleet_size;
+    fleet::known_fleet known_fleet;
     std::unique_ptr<net::gateway> gateway;
     /// The configuration before the one in force, for injections.
     std::shared_ptr<const config::configuration_index> previous_configuration;
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -163,7 +163,7 @@
     {
         return {.on_changes = [this](const std::vector<fleet::entry_change>& changes)
                 { apply_changes(changes); },
-                .on_fleet_view = [this](const fleet_view& view) { apply_fleet_view(view); },
+                .on_fleet_view = [this](const fleet::fleet_view& view) { apply_fleet_view(view); },
                 .on_primary_time = [this](core::duration time)
                 { limits::advance_pool_clock(gateway_.accounts, time); },
                 .take_from_pool = [this](const std::string& account)
@@ -175,14 +175,17 @@
                     limits::add_granted(gateway_.accounts, late.account, late.granted.requests,
                                         late.asked_at, core::boot_clock_now());
                 },
-                .selection_count =
-                    [this]
+                .selection_count = [this] { return gateway_.counters.selections; },
+                .loads_to_state = [this]
+                { return fleet::loads_to_state(gateway_.load_meters, core::boot_clock_now()); },
+                .on_fleet_load =
+                    [this](admission::fleet_load load)
                 {
-                    return gateway_.counters.selections;
+                    gateway_.fleet_load = std::move(load);
                 }};
     }
 
-    void apply_fleet_view(const fleet_view& view)
+    void apply_fleet_view(const fleet::fleet_view& view)
     {
         const core::time_point now = core::boot_clock_now();
         limits::set_fleet_size(gateway_.accounts,
@@ -292,7 +295,9 @@
              {"selection_probes", probes.at(static_cast<std::size_t>(probe_purpose::selection))},
              {"unprobed_selections", requests.unprobed_selections},
              {"trial_probes", probes.at(static_cast<std::size_t>(probe_purpose::trial))},
-             {"grant_timeouts", links_.counters().grant_timeouts}});
+             {"grant_timeouts", links_.counters().grant_timeouts},
+             {"peer_bytes_in", links_.counters().bytes_in},
+             {"peer_bytes_out", links_.counters().bytes_out}});
     }
 
     asio::awaitable<void> reload_settings_regularly()
@@ -427,7 +432,8 @@
                                         .peer_bytes_in = links_.counters().bytes_in,
                                         .peer_bytes_out = links_.counters().bytes_out,
                                         .peer_snapshots_out = links_.counters().snapshots_out,
-                                        .grant_timeouts = links_.counters().grant_timeouts});
+                                        .grant_timeouts = links_.counters().grant_timeouts,
+                                        .now = core::boot_clock_now()});
     }
 
     boost::json::object dump() const
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -1,6 +1,7 @@
 #include "net/gateway.hpp"
 
 #include "net/await_error.hpp"
+#include "net/load_output.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -304,6 +305,7 @@
     out["members"] = gateway.backends.members.size();
     out["limits"] = limits::dump(gateway.accounts);
     out["servers"] = routing::dump(gateway.backends, now);
+    out["loads"] = dump_loads(gateway, now);
     return out;
 }
 
--- a/src/net/gateway_metrics.cpp
+++ b/src/net/gateway_metrics.cpp
@@ -1,5 +1,7 @@
 #include "net/gateway_metrics.hpp"
 
+#include "net/load_output.hpp"
+
 #include <spdlog/fmt/fmt.h>
 
 #include <iterator>
@@ -97,6 +99,7 @@
     print(out, "gauge", "zinnia_replica_revision", "Revision of the store that is known.",
           number(daemon.replica_revision));
     print_refusals(out, counters);
+    append_load_metrics(out, gateway, daemon.now);
     gateway.durations.append_metrics(out);
     return out;
 }
--- a/src/net/gateway_metrics.hpp
+++ b/src/net/gateway_metrics.hpp
@@ -18,6 +18,7 @@
     std::uint64_t peer_bytes_out = 0;     ///< Sent to other daemons.
     std::uint64_t peer_snapshots_out = 0; ///< Snapshots of all entries sent to other daemons.
     std::uint64_t grant_timeouts = 0;     ///< Grants that the primary hub did not send in time.
+    core::time_point now;                 ///< For averages over time.
 };
 
 /// Returns the body of `/metrics`. Thread safety: the gateway's thread only.
--- a/src/net/hub_links.cpp
+++ b/src/net/hub_links.cpp
@@ -1,6 +1,6 @@
 #include "net/hub_links.hpp"
 
-#include "net/accept_loop.hpp"
+#include "net/await_error.hpp"
 #include "net/endpoint.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -16,12 +16,9 @@
 
 using boost::system::error_code;
 
-/// A hub sends the age of its replica after each report of a subscriber, and at least this often.
-constexpr core::duration update_interval = std::chrono::milliseconds(600);
 /// An update counts as sent at the time of the report that it repeats, so updates look older by up
 /// to this time.
 constexpr core::duration report_interval = std::chrono::milliseconds(400);
-constexpr core::duration fleet_interval = std::chrono::seconds(1);
 constexpr core::duration selection_rate_interval = std::chrono::seconds(1);
 /// Interval at which the choice of hubs is checked.
 constexpr core::duration hub_check_interval = std::chrono::milliseconds(200);
@@ -91,161 +88,6 @@
     co_return std::move(received->message);
 }
 
-asio::awaitable<void> hub_links::serve(asio::ip::tcp::acceptor& acceptor)
-{
-    return accept_connections(
-        acceptor,
-        [this](asio::ip::tcp::socket socket)
-        { return serve_subscriber(std::make_shared<link>(std::move(socket))); },
-        [this](const error_code& error) {
-            log_.write("peers", "accept_failed", {{"error", error.message()}});
-        });
-}
-
-asio::awaitable<void> hub_links::serve_subscriber(link_pointer subscriber)
-{
-    const auto first = co_await receive(*subscriber);
-    const auto* hello = first ? std::get_if<fleet::hello_message>(&*first) : nullptr;
-    if (hello == nullptr)
-    {
-        co_return;
-    }
-    const fleet::hello_message subscriber_hello = *hello;
-    const std::string vm = subscriber_hello.self.vm;
-    fleet::on_hello(registry_, subscriber_hello, core::boot_clock_now());
-    fleet::on_met(choice_, subscriber_hello.self.address);
-    report_fleet_view();
-    log_.write("peers", "subscribed",
-               {{"subscriber", vm}, {"revision", subscriber_hello.revision}});
-    subscribers_.insert(subscriber);
-    // A subscriber whose revision differs from that of the replica gets a snapshot, with the values
-    // of the entries that it lacks.
-    const bool is_up_to_date =
-        subscriber_hello.revision != 0 && subscriber_hello.revision == replica_.revision;
-    subscriber->position = {.sent_sequence = is_up_to_date ? replica_.sequence : 0,
-                            .known_revision = subscriber_hello.revision,
-                            .compression = subscriber_hello.accepts_compressed
-                                               ? fleet::compression::allowed
-                                               : fleet::compression::off};
-    asio::co_spawn(io_, write_frames(subscriber), asio::detached);
-    asio::co_spawn(io_, send_updates(subscriber), asio::detached);
-    while (const auto message = co_await receive(*subscriber))
-    {
-        if (const auto* report = std::get_if<fleet::report_message>(&*message))
-        {
-            subscriber->last_report = report->number;
-            notify(*subscriber);
-            if (fleet::on_report(registry_, vm, *report, core::boot_clock_now()))
-            {
-                report_fleet_view();
-            }
-        }
-        else if (const auto* request = std::get_if<fleet::ask_message>(&*message))
-        {
-            answer_grant_request(*subscriber, vm, *request);
-        }
-    }
-    close(*subscriber);
-    subscribers_.erase(subscriber);
-    fleet::on_unsubscribed(registry_, vm, subscriber_hello.incarnation, core::boot_clock_now());
-    report_fleet_view();
-    log_.write("peers", "left", {{"subscriber", vm}});
-}
-
-limits::grant hub_links::take_from_pool(const std::string& account)
-{
-    callbacks_.on_primary_time(fleet::take_primary_time(registry_, core::boot_clock_now()));
-    return callbacks_.take_from_pool(account);
-}
-
-void hub_links::answer_grant_request(link& subscriber, const std::string& vm,
-                                     const fleet::ask_message& request)
-{
-    fleet::on_grant_request(registry_, vm, request, core::boot_clock_now());
-    // Without a configuration no account is known to have a limit.
-    if (!replica_.complete)
-    {
-        return;
-    }
-    const limits::grant grant = take_from_pool(request.account);
-    send(subscriber, fleet::grant_message{.number = request.number,
-                                          .requests = grant.requests,
-                                          .retry_after = grant.retry_after});
-}
-
-asio::awaitable<void> hub_links::send_updates(link_pointer subscriber)
-{
-    core::time_point fleet_due = core::boot_clock_now();
-    while (!subscriber->closed)
-    {
-        if (replica_.complete)
-        {
-            send_changes(*subscriber);
-        }
-        if (core::boot_clock_now() >= fleet_due)
-        {
-            fleet_due = core::boot_clock_now() + fleet_interval;
-            send_fleet(*subscriber);
-        }
-        co_await wait_for_notification(*subscriber, update_interval);
-    }
-}
-
-void hub_links::send_changes(link& subscriber)
-{
-    if (subscriber.position.sent_sequence == 0 ||
-        subscriber.position.sent_sequence != replica_.sequence)
-    {
-        const frame_pointer previous = shared_update_.update.frame;
-        const encoded_update update =
-            update_for(shared_update_, replica_, subscriber.position, core::boot_clock_now());
-        counters_.updates_encoded += update.frame == previous ? 0 : 1;
-        subscriber.position.sent_sequence = replica_.sequence;
-        subscriber.position.known_revision = replica_.revision;
-        counters_.bytes_out += update.frame->size();
-        queue_frame(subscriber, update.frame);
-        log_snapshot(update);
-    }
-    send(subscriber, fleet::update_message{.revision = replica_.revision,
-                                           .age = core::boot_clock_now() - replica_.current_as_of,
-                                           .last_report = subscriber.last_report});
-}
-
-void hub_links::log_snapshot(const encoded_update& update)
-{
-    if (update.is_snapshot)
-    {
-        ++counters_.snapshots_out;
-        log_.write("peers", "snapshot_sent",
-                   {{"entries", update.entries}, {"bytes", update.frame->size()}});
-    }
-}
-
-void hub_links::send_fleet(link& subscriber)
-{
-    const core::time_point now = core::boot_clock_now();
-    const bool members_unchanged = subscriber.members_version_sent == registry_.members_version;
-    subscriber.members_version_sent = registry_.members_version;
-    send(subscriber,
-         members_unchanged ? fleet::make_fleet_summary(registry_, now)
-                           : fleet::make_fleet_message(registry_, now),
-         subscriber.position.compression);
-}
-
-void hub_links::notify_subscribers()
-{
-    for (const link_pointer& subscriber : subscribers_)
-    {
-        notify(*subscriber);
-    }
-}
-
-void hub_links::notify(link& subscriber)
-{
-    subscriber.notification_pending = true;
-    subscriber.notification.cancel();
-}
-
 asio::awaitable<void> hub_links::run()
 {
     asio::steady_timer timer(io_);
@@ -280,8 +122,13 @@
             {
                 update_selection_rate(now);
             }
+            registry_.own_loads = callbacks_.loads_to_state();
             send_reports();
             report_fleet_view();
+            if (primary_hub_ == choice_.own_address)
+            {
+                report_own_sums(now);
+            }
         }
         timer.expires_after(primary_hub_ ? hub_check_interval : fast_hub_check_interval);
         error_code ignored;
@@ -305,7 +152,8 @@
                                     .selection_rate = registry_.own_selection_rate,
                                     .number = fleet::on_report_sent(hub.echoes, now),
                                     .primary_time =
-                                        fleet::state_primary_time(hub.statement, is_primary, now)});
+                                        fleet::state_primary_time(hub.statement, is_primary, now),
+                                    .loads = registry_.own_loads});
 }
 
 void hub_links::update_selection_rate(core::time_point now)
@@ -347,7 +195,8 @@
                                     .incarnation = incarnation_,
                                     .revision = replica_.complete ? replica_.revision : 0,
                                     .accepts_compressed = true,
-                                    .members_known = stated_fleet_size()});
+                                    .members_known = fleet::size_to_state(known_fleet_.recent_size,
+                                                                          known_fleet_.size)});
     send_report(address, *hub);
     asio::co_spawn(io_, write_frames(hub), asio::detached);
     while (const auto message = co_await receive(*hub))
@@ -416,6 +265,12 @@
                         : fleet::apply_changes(replica_, update.changes, update.revision);
     replica_.current_as_of = std::max(replica_.current_as_of, as_of);
     callbacks_.on_changes(changes);
+    // Older hubs send no loads, and a hub none in updates with changes.
+    if (address == primary_hub_ && !update.loads.empty())
+    {
+        callbacks_.on_fleet_load(
+            fleet::make_fleet_load(update.loads, fleet::sent_after(hub.echoes)));
+    }
 }
 
 asio::awaitable<std::optional<limits::grant>> hub_links::request_grant(std::string account)
@@ -449,51 +304,32 @@
     co_return grant;
 }
 
-// Combines the reports of the hubs with this daemon's own registry: the union of their members, and
-// the highest number of known members.
 void hub_links::report_fleet_view()
 {
     const core::time_point now = core::boot_clock_now();
     // The time until now counts by the size of the fleet until now.
     callbacks_.on_primary_time(fleet::take_primary_time(registry_, now));
-    const fleet::fleet_message own = fleet::make_fleet_message(registry_, now);
-    fleet::record_members(member_cache_, own.members, now);
-    std::vector<const fleet::fleet_message*> hub_messages;
-    double fleet_selection_rate = primary_hub_ == choice_.own_address ? own.selection_rate : 0.0;
+    std::vector<fleet::hub_statement> statements;
     for (const auto& [address, hub] : hubs_)
     {
-        hub_messages.push_back(&hub->last_fleet);
-        if (address == primary_hub_)
-        {
-            fleet_selection_rate = hub->last_fleet.selection_rate;
-        }
-        fleet::record_members(member_cache_, hub->members, now);
+        statements.push_back({address, &hub->last_fleet, &hub->members});
     }
-    fleet::confirm_contact(registry_, choice_, hub_messages, now);
-    const bool was_known = fleet_size_.is_known;
-    fleet_size_ = fleet::estimate_fleet_size(known_size_, registry_, hub_messages, now);
-    if (fleet_size_.is_known != was_known)
+    const bool was_known = known_fleet_.size.is_known;
+    const fleet::fleet_view view =
+        fleet::view_fleet(known_fleet_, registry_, choice_, primary_hub_, statements, now);
+    if (view.is_size_known != was_known)
     {
-        log_.write("peers", fleet_size_.is_known ? "fleet_size_known" : "fleet_size_unknown",
-                   {{"members", fleet_size_.members_known},
+        log_.write("peers", view.is_size_known ? "fleet_size_known" : "fleet_size_unknown",
+                   {{"members", view.members_known},
                     {"met_most_seeds", fleet::has_met_most_seeds(choice_)}});
     }
-    fleet_view view;
-    view.members = fleet::recent_members(member_cache_, now);
-    view.members_known = fleet_size_.members_known;
-    view.primary_members = fleet::count_primary_members(registry_, now) +
-                           (primary_hub_ == choice_.own_address ? 1 : 0);
-    view.hub_reachable = primary_hub_.has_value();
-    view.own_selection_rate = registry_.own_selection_rate;
-    view.fleet_selection_rate = fleet_selection_rate;
-    view.is_size_known = fleet_size_.is_known;
     callbacks_.on_fleet_view(view);
 }
 
-// The largest size is stated, not one that is only assumed while a hub does not know the fleet.
-std::uint32_t hub_links::stated_fleet_size() const
+void hub_links::report_own_sums(core::time_point now)
 {
-    return fleet_size_.is_known ? static_cast<std::uint32_t>(known_size_.largest) : 0;
+    fleet::update_sums(load_sums_, registry_, now);
+    callbacks_.on_fleet_load(load_sums_.sums);
 }
 
 boost::json::object hub_links::dump() const
@@ -502,8 +338,8 @@
     boost::json::object out;
     out["subscribers"] = subscribers_.size();
     out["is_hub"] = fleet::is_hub(choice_, now);
-    out["fleet_size"] = fleet_size_.members_known;
-    out["is_fleet_size_known"] = fleet_size_.is_known;
+    out["fleet_size"] = known_fleet_.size.members_known;
+    out["is_fleet_size_known"] = known_fleet_.size.is_known;
     out["candidates"] = fleet::dump(choice_, now);
     out["bytes_in"] = counters_.bytes_in;
     out["bytes_out"] = counters_.bytes_out;
--- a/src/net/hub_links.hpp
+++ b/src/net/hub_links.hpp
@@ -1,11 +1,13 @@
 /// Connections between daemons: serves this daemon's subscribers, and subscribes to its hubs.
 #pragma once
 
+#include "fleet/fleet_view.hpp"
 #include "fleet/hub_choice.hpp"
 #include "fleet/primary_statement.hpp"
 #include "fleet/registry.hpp"
 #include "fleet/replica.hpp"
 #include "fleet/report_echoes.hpp"
+#include "fleet/service_loads.hpp"
 #include "limits/account_pools.hpp"
 #include "net/grant_requests.hpp"
 #include "net/shared_update.hpp"
@@ -22,18 +24,6 @@
 namespace zinniaferry::net
 {
 
-/// What this daemon knows of the fleet, from its subscribers and its hubs.
-struct fleet_view
-{
-    std::vector<std::string> members;  ///< VMs reported recently, this one included.
-    std::size_t members_known = 1;     ///< Includes those that disconnected recently.
-    std::size_t primary_members = 0;   ///< Members whose primary hub is this daemon.
-    bool hub_reachable = false;        ///< There is a primary hub, which may be this daemon.
-    double own_selection_rate = 0.0;   ///< Selections/s of a backend server by this daemon.
-    double fleet_selection_rate = 0.0; ///< The same of the whole fleet; 0 if not known.
-    bool is_size_known = false; ///< This daemon or a hub has run long enough to know every member.
-};
-
 /// Called on the io_context's thread.
 struct hub_link_callbacks
 {
@@ -41,7 +31,7 @@
     /// may be empty.
     std::function<void(const std::vector<fleet::entry_change>&)> on_changes;
     /// The view of the fleet has been computed again.
-    std::function<void(const fleet_view&)> on_fleet_view;
+    std::function<void(const fleet::fleet_view&)> on_fleet_view;
     /// Members have used this daemon as their primary hub for so long, added up over the members.
     std::function<void(core::duration)> on_primary_time;
     /// Takes requests of an account from this daemon's pool, for a subscriber or for this daemon.
@@ -49,6 +39,10 @@
     std::function<void(const late_grant&)> on_late_grant;
     /// Returns the number of selections of a backend server since the start.
     std::function<std::uint64_t()> selection_count;
+    /// Returns this daemon's loads of services for its next reports.
+    std::function<std::vector<fleet::stated_load>()> loads_to_state;
+    /// The primary hub, which may be this daemon, has formed the sums of the fleet's loads again.
+    std::function<void(admission::fleet_load)> on_fleet_load;
 };
 
 /// Traffic with other daemons since the start.
@@ -106,6 +100,7 @@
 
         asio::steady_timer notification; ///< Cancelled to wake send_updates.
         bool notification_pending = false;
+        std::string vm;                         ///< Of a subscriber.
         subscriber_position position;           ///< Of a subscriber.
         std::uint64_t members_version_sent = 0; ///< To a subscriber: members_version.
         std::uint64_t last_report = 0;          ///< From a subscriber: number of its latest report.
@@ -140,8 +135,10 @@
                                    const fleet::update_message& update);
     static void notify(link& subscriber);
     void report_fleet_view();
-    /// Returns the size of the fleet for hello messages; 0 if it is not known.
-    std::uint32_t stated_fleet_size() const;
+    /// Gives the sums of this daemon as its own primary hub to the callback.
+    void report_own_sums(core::time_point now);
+    /// Returns the sums for a subscriber; none for one that uses another primary hub.
+    std::vector<fleet::stated_load> loads_for(const link& subscriber);
     void send(link& to, const fleet::hub_message& message,
               fleet::compression mode = fleet::compression::off);
     asio::awaitable<std::optional<fleet::hub_message>> receive(link& from);
@@ -155,9 +152,8 @@
     hub_link_callbacks callbacks_;
     fleet::hub_choice choice_;
     fleet::registry registry_;
-    fleet::member_cache member_cache_;
-    fleet::known_size known_size_;
-    fleet::size_estimate fleet_size_;
+    fleet::known_fleet known_fleet_;
+    fleet::load_sums load_sums_;
     std::unordered_set<link_pointer> subscribers_;
     std::unordered_map<std::string, link_pointer> hubs_; ///< By address.
     shared_update shared_update_;
--- a/test/correctness/fleet/hub_messages_test.cpp
+++ b/test/correctness/fleet/hub_messages_test.cpp
@@ -1,9 +1,13 @@
 #include "fleet/hub_messages.hpp"
 
 #include "core/random.hpp"
+#include "fleet/load_encoding.hpp"
 
+#include <capnp/message.h>
 #include <gtest/gtest.h>
 
+#include <cmath>
+
 namespace zinniaferry::fleet
 {
 namespace
@@ -11,6 +15,14 @@
 
 using namespace std::chrono_literals;
 
+std::vector<stated_load> sample_loads()
+{
+    stated_load busy = {"sheets", {.running = 3.0, .waiting = 700.0, .completions = 12.25}};
+    busy.load.by_priority[0] = {.arrivals = 0.01, .rejections = 9.5};
+    busy.load.by_priority[7] = {.arrivals = 4000.0};
+    return {busy, {"orders", {.running = 1.0}}};
+}
+
 std::vector<hub_message> samples()
 {
     return {hello_message{.self = {"vm-1", "10.0.0.1:7"},
@@ -21,6 +33,8 @@
             report_message{
                 .primary = true, .selection_rate = 12.5F, .number = 4, .primary_time = 400ms},
             report_message{.number = 5},
+            report_message{.loads = sample_loads()},
+            update_message{.age = 1500us, .last_report = 4, .loads = sample_loads()},
             update_message{.revision = 9,
                            .complete = true,
                            .age = 1500us,
@@ -58,6 +72,34 @@
     }
 }
 
+// Guards against a value from a faulty peer that spoils the sum of a service for the whole fleet,
+// and against a rate that is not a number.
+TEST(hub_messages, loads_out_of_range_are_dropped)
+{
+    report_message report{.loads = sample_loads()};
+    report.loads[1].load = {.running = -1.0, .completions = std::nan("")};
+    report.loads.push_back({std::string(300, 's'), {.running = 1.0}});
+    report.loads.push_back({"", {.running = 1.0}});
+    const auto read = decode(encode(report));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(std::get<report_message>(*read).loads,
+              (std::vector<stated_load>{sample_loads()[0], {"orders", {}}}));
+
+    capnp::MallocMessageBuilder builder;
+    auto loads = builder.initRoot<wire::HubMessage>().initReport().initLoads(5);
+    for (unsigned i = 0; i < loads.size(); ++i)
+    {
+        loads[i].setService("s" + std::to_string(i));
+        loads[i].setRunning(i == 0 ? 4'000'000'000U : 1U);
+        loads[i].setWaiting(i == 1 ? 4'000'000'000U : 0U);
+        loads[i].setCompletions(i == 2 ? 4'000'000'000U : 0U);
+        loads[i].initArrivals(i == 3 ? 9 : 1);
+    }
+    const auto kept = read_loads(loads.asReader());
+    ASSERT_EQ(kept.size(), 1U);
+    EXPECT_EQ(kept[0].service, "s4");
+}
+
 // Guards against bytes from a faulty peer that crash the decoder, and with it the daemon.
 TEST(hub_messages, truncated_and_corrupted_messages_are_rejected_or_decoded_safely)
 {
--- a/test/correctness/net/gateway_metrics_test.cpp
+++ b/test/correctness/net/gateway_metrics_test.cpp
@@ -47,5 +47,23 @@
     EXPECT_NE(page.find("zinnia_request_duration_seconds_count 1\n"), std::string::npos);
 }
 
+// Guards against loads that operators cannot see, and against one of the fleet that is out of date
+// and shown as if it were not.
+TEST(gateway_metrics, loads_of_the_daemon_and_of_the_fleet_are_printed)
+{
+    asio::io_context io;
+    gateway shared(io, {}, {.vm = "vm-1", .log = {.enabled = false}});
+    const core::time_point now{std::chrono::hours(1)};
+    admission::on_attempt_began(shared.load_meters["a \"b\""]);
+    shared.fleet_load = {.by_service = {{"c", {.waiting = 7.0}}}, .as_of = now};
+    const std::string page = print_metrics(shared, {.now = now});
+    EXPECT_NE(page.find(R"(scope="daemon",service="a \"b\"",value="running"} 1.00)"),
+              std::string::npos);
+    EXPECT_NE(page.find(R"(scope="fleet",service="c",value="waiting"} 7.00)"), std::string::npos);
+    EXPECT_EQ(dump(shared, now).at("loads").at("c").at("fleet").at("waiting"), 7.0);
+    const std::string later = print_metrics(shared, {.now = now + std::chrono::seconds(5)});
+    EXPECT_EQ(later.find("scope=\"fleet\""), std::string::npos);
+}
+
 } // namespace
 } // namespace zinniaferry::net
--- a/test/correctness/net/hub_links_test.cpp
+++ b/test/correctness/net/hub_links_test.cpp
@@ -178,7 +178,7 @@
     {
         callbacks.on_changes = [](const std::vector<fleet::entry_change>&) {
         };
-        callbacks.on_fleet_view = [this](const fleet_view& view)
+        callbacks.on_fleet_view = [this](const fleet::fleet_view& view)
         {
             latest_view = view;
         };
@@ -189,6 +189,14 @@
             late_account = late.account;
             late_requests += late.granted.requests;
         };
+        callbacks.loads_to_state = [this]
+        {
+            return own_loads;
+        };
+        callbacks.on_fleet_load = [this](const admission::fleet_load& load)
+        {
+            fleet_load = load;
+        };
         callbacks.selection_count = []
         {
             return std::uint64_t(0);
@@ -237,7 +245,9 @@
     fleet::replica replica;
     event_log log{{.enabled = false}};
     hub_link_callbacks callbacks;
-    fleet_view latest_view;
+    fleet::fleet_view latest_view;
+    std::vector<fleet::stated_load> own_loads;
+    admission::fleet_load fleet_load;
     std::string late_account;
     std::uint32_t late_requests = 0;
     std::unique_ptr<hub_links> links;
@@ -341,5 +351,37 @@
     EXPECT_EQ(links->counters().updates_encoded, before + 1);
 }
 
+// Guards against loads that are lost between two daemons, and against sums that a daemon takes from
+// a hub that does not know of it.
+TEST_F(hub_links_test, daemons_learn_the_load_of_the_fleet_from_their_primary_hub)
+{
+    own_loads = {{"sheets", {.running = 2.0}}};
+    const std::string hub_address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    fleet::replica hub_replica{.complete = true, .current_as_of = core::boot_clock_now()};
+    hub_link_callbacks hub_callbacks = callbacks;
+    admission::fleet_load seen_by_hub;
+    hub_callbacks.loads_to_state = []
+    {
+        return std::vector<fleet::stated_load>{{"sheets", {.running = 5.0}}};
+    };
+    hub_callbacks.on_fleet_load = [&](const admission::fleet_load& load)
+    {
+        seen_by_hub = load;
+    };
+    hub_links hub(io, {"hub", hub_address}, 2, hub_replica, log, hub_callbacks);
+    hub.set_seeds({hub_address});
+    asio::co_spawn(io, hub.serve(acceptor), asio::detached);
+    asio::co_spawn(io, hub.run(), asio::detached);
+    ASSERT_TRUE(start({hub_address}));
+    const auto sum = [](const admission::fleet_load& load)
+    {
+        const auto found = load.by_service.find("sheets");
+        return found == load.by_service.end() ? 0.0 : found->second.running;
+    };
+    EXPECT_TRUE(
+        test::run_until(io, [&] { return sum(fleet_load) == 7.0 && sum(seen_by_hub) == 7.0; }));
+    EXPECT_LE(fleet_load.as_of, core::boot_clock_now());
+}
+
 } // namespace
 } // namespace zinniaferry::net
