--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -1,6 +1,7 @@
 #include "net/gateway.hpp"
 
 #include "net/await_error.hpp"
+#include "net/load_output.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -156,6 +157,13 @@
                   [&](const auto& entry) { return !routes.contains(entry.first); });
     std::erase_if(gateway.overloads,
                   [&](const auto& entry) { return !index.services.contains(entry.first); });
+    std::erase_if(gateway.load_meters,
+                  [&](const auto& entry)
+                  {
+                      const admission::service_load& load = entry.second.averages;
+                      const bool is_idle = load.running == 0.0 && load.waiting == 0.0;
+                      return is_idle && !index.services.contains(entry.first);
+                  });
 }
 
 } // namespace
@@ -297,6 +305,7 @@
     out["members"] = gateway.backends.members.size();
     out["limits"] = limits::dump(gateway.accounts);
     out["servers"] = routing::dump(gateway.backends, now);
+    out["loads"] = dump_loads(gateway, now);
     return out;
 }
 
