Admission: services that are short of capacity admit by priority

Cause: priority was read and decided nothing.

Change: admission/priority_admission derives from the fleet's load which share of each priority a short service admits, and when rejected callers return. Less urgent requests leave servers' queues to urgent ones. It applies to services at which a configuration lets different priorities meet (prioritised_services); others admit as before. Without a summary a daemon decides by its own load. The handler reports arrivals, waits, rejections and attempts to the load meters of all services.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -1,5 +1,6 @@
 #include "net/gateway.hpp"
 
+#include "admission/prioritised_services.hpp"
 #include "net/await_error.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -156,6 +157,8 @@
                   [&](const auto& entry) { return !routes.contains(entry.first); });
     std::erase_if(gateway.overloads,
                   [&](const auto& entry) { return !index.services.contains(entry.first); });
+    std::erase_if(gateway.priority_admissions, [&](const auto& entry)
+                  { return !gateway.prioritised_services.contains(entry.first); });
     std::erase_if(gateway.load_meters,
                   [&](const auto& entry)
                   {
@@ -204,6 +207,7 @@
         state.warmup = service.warmup;
     }
     apply_topology(gateway, *config, now);
+    gateway.prioritised_services = admission::prioritised_services(*config);
     gateway.configuration = std::make_shared<const config::configuration_index>(
         config::make_configuration_index(std::move(config)));
     erase_dropped(gateway);
@@ -340,14 +344,6 @@
                             .source = granted->source};
 }
 
-core::duration refuse_for_capacity(gateway& gateway, const std::string& service,
-                                   core::time_point now)
-{
-    admission::overload& overload = gateway.overloads[service];
-    admission::on_refused(overload, now);
-    return admission::retry_after(overload, now, gateway.random);
-}
-
 void record_server_notice(gateway& gateway, const routing::server_lifetime& server,
                           const parsed_notice& parsed, routing::notice_source source)
 {
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "admission/overload.hpp"
+#include "admission/priority_admission.hpp"
 #include "admission/service_load.hpp"
 #include "admission/stated_deadlines.hpp"
 #include "admission/stop_schedule.hpp"
@@ -46,6 +47,9 @@
     std::uint64_t unprobed_selections = 0; ///< Selections without a probe, for lack of budget.
     /// By refusal_reason. Includes requests that could not be parsed, which `requests` does not.
     std::array<std::uint64_t, request::refusal_reason_count> refused{};
+    /// Rejected for lack of capacity, by admission::priority_level.
+    std::array<std::uint64_t, admission::priority_levels> rejected_by_priority{};
+    std::uint64_t not_admitted = 0; ///< Of those, the ones rejected at their arrival.
 };
 
 /// What this daemon has learned from the requests of a route.
@@ -93,6 +97,11 @@
     /// By host and prefix. Requests in progress share ownership of those of a dropped route.
     std::unordered_map<std::string, std::shared_ptr<route_statistics>> route_statistics_by_name;
     std::unordered_map<std::string, admission::overload> overloads; ///< By service.
+    /// Services whose requests may be of different priority; from the configuration in force.
+    std::unordered_set<std::string> prioritised_services;
+    std::unordered_map<std::string, admission::priority_admission> priority_admissions; ///< Theirs.
+    /// Requests that wait for a server now, by admission::priority_level.
+    std::array<std::size_t, admission::priority_levels> waiting_by_priority{};
     /// This daemon's load of each service. References are not kept across a suspension, as the
     /// meter of a service that left the configuration is erased once it is idle.
     std::unordered_map<std::string, admission::load_meter> load_meters;
@@ -137,11 +146,6 @@
 /// of one request, or of none.
 asio::awaitable<limits::grant> acquire_grant(gateway& gateway, std::string account);
 
-/// Records that a request is refused because no server of the service has capacity for it. Returns
-/// when its caller is to return.
-core::duration refuse_for_capacity(gateway& gateway, const std::string& service,
-                                   core::time_point now);
-
 /// Records and logs what a response says of its server.
 void record_server_notice(gateway& gateway, const routing::server_lifetime& server,
                           const parsed_notice& parsed, routing::notice_source source);
--- a/src/net/gateway_metrics.cpp
+++ b/src/net/gateway_metrics.cpp
@@ -51,6 +51,36 @@
     }
 }
 
+void print_admission(std::string& out, const gateway& gateway)
+{
+    out += "# HELP zinnia_rejected_for_capacity_total Requests for which a service had no capacity."
+           "\n# TYPE zinnia_rejected_for_capacity_total counter\n";
+    for (std::size_t level = 0; level < admission::priority_levels; ++level)
+    {
+        fmt::format_to(std::back_inserter(out),
+                       "zinnia_rejected_for_capacity_total{{priority=\"{}\"}} {}\n", level,
+                       gateway.counters.rejected_by_priority.at(level));
+    }
+    out += "# HELP zinnia_waiting_requests Requests that wait for a server.\n"
+           "# TYPE zinnia_waiting_requests gauge\n";
+    for (std::size_t level = 0; level < admission::priority_levels; ++level)
+    {
+        fmt::format_to(std::back_inserter(out), "zinnia_waiting_requests{{priority=\"{}\"}} {}\n",
+                       level, gateway.waiting_by_priority.at(level));
+    }
+    out += "# HELP zinnia_admitted_share Share of the arrivals that a short service admits.\n"
+           "# TYPE zinnia_admitted_share gauge\n";
+    for (const auto& [service, state] : gateway.priority_admissions)
+    {
+        for (std::size_t level = 0; state.is_short && level < admission::priority_levels; ++level)
+        {
+            fmt::format_to(std::back_inserter(out),
+                           "zinnia_admitted_share{{service=\"{}\",priority=\"{}\"}} {}\n", service,
+                           level, state.admitted.at(level));
+        }
+    }
+}
+
 } // namespace
 
 std::string print_metrics(const gateway& gateway, const daemon_metrics& daemon)
@@ -96,7 +126,10 @@
           gateway.configuration ? number(gateway.configuration->config->version) : 0.0);
     print(out, "gauge", "zinnia_replica_revision", "Revision of the store that is known.",
           number(daemon.replica_revision));
+    print(out, "counter", "zinnia_not_admitted_total", "Requests rejected at their arrival.",
+          number(counters.not_admitted));
     print_refusals(out, counters);
+    print_admission(out, gateway);
     gateway.durations.append_metrics(out);
     return out;
 }
--- a/src/net/request_handler.cpp
+++ b/src/net/request_handler.cpp
@@ -3,6 +3,7 @@
 #include "admission/startup_wait.hpp"
 #include "net/await_error.hpp"
 #include "net/request_log.hpp"
+#include "net/service_admission.hpp"
 #include "request/hedging.hpp"
 #include "routing/candidates.hpp"
 
@@ -53,6 +54,7 @@
     else
     {
         response = co_await forward();
+        set_waiting(false);
         cancel_attempts();
     }
     --gateway_.requests_in_progress;
@@ -109,6 +111,11 @@
     // A weighted split between services keeps its weights also while one of the services is short
     // of capacity: the request is refused rather than moved to another service.
     service_ = config::select_service(*route_, core::uniform(gateway_.random));
+    if (const auto refusal = admit_to_service())
+    {
+        limits::refund(gateway_.accounts, account_, core::boot_clock_now());
+        co_return refusal;
+    }
     progress_ = {.idempotent = route_->idempotent, .max_runs = route_->attempts};
     if (description_.time_left &&
         !admission::is_overloaded(gateway_.overloads[service_], core::boot_clock_now()))
@@ -119,6 +126,20 @@
     co_return std::nullopt;
 }
 
+std::optional<request::refusal> request_handler::admit_to_service()
+{
+    const core::time_point now = core::boot_clock_now();
+    admission::on_arrival(gateway_.load_meters[service_], priority_, now);
+    admission_fraction_ = core::uniform(gateway_.random);
+    admission_ = decide_admission(gateway_, service_, priority_, admission_fraction_, now);
+    if (admission_ != admission::admission_decision::rejected)
+    {
+        return std::nullopt;
+    }
+    return request::refusal{refusal_reason::overloaded,
+                            reject_at_arrival(gateway_, service_, priority_, now)};
+}
+
 // Waits for the first configuration, for as long as one is expected soon.
 asio::awaitable<void> request_handler::wait_for_configuration()
 {
@@ -170,6 +191,7 @@
     route_ = route;
     statistics_ = statistics_of(gateway_, *route);
     account_ = account == nullptr ? std::string() : account->name;
+    priority_ = account == nullptr ? route->priority : account->priority.value_or(route->priority);
     return std::nullopt;
 }
 
@@ -206,6 +228,7 @@
             {
                 co_return give_up(selected_at);
             }
+            set_waiting(servers_full_ && open_attempt_count() == 0);
             co_await wait_until(std::min(deadline_, core::boot_clock_now() + selection_interval));
             continue;
         }
@@ -214,18 +237,46 @@
     co_return http_response();
 }
 
-admission::placement request_handler::current_placement() const
+admission::placement request_handler::current_placement()
 {
     if (open_attempt_count() > 0)
     {
         return admission::place_hedge(statistics_->latency.median);
     }
     const core::time_point now = core::boot_clock_now();
-    return admission::place({.since_arrival = now - arrived_,
-                             .since_first_attempt = now - first_asked_at_,
-                             .objective = route_->objective,
-                             .usual_latency = statistics_->latency.median,
-                             .response_transit = response_transit_time});
+    admission::placement placement = admission::place({.since_arrival = now - arrived_,
+                                                       .since_first_attempt = now - first_asked_at_,
+                                                       .objective = route_->objective,
+                                                       .usual_latency = statistics_->latency.median,
+                                                       .response_transit = response_transit_time});
+    admission_ = decide_admission(gateway_, service_, priority_, admission_fraction_, now);
+    if (admission_ != admission::admission_decision::unrestricted &&
+        placement.accepted == routing::queueing::in_time)
+    {
+        placement.accepted = routing::queueing::none;
+    }
+    return placement;
+}
+
+void request_handler::set_waiting(bool waiting)
+{
+    if (waiting == is_waiting_)
+    {
+        return;
+    }
+    is_waiting_ = waiting;
+    admission::load_meter& meter = gateway_.load_meters[service_];
+    std::size_t& count = gateway_.waiting_by_priority.at(admission::priority_level(priority_));
+    if (waiting)
+    {
+        admission::on_wait_began(meter);
+        ++count;
+    }
+    else
+    {
+        admission::on_wait_ended(meter);
+        --count;
+    }
 }
 
 // How long the servers that the request has not been sent to take nothing; nothing if one may.
@@ -331,6 +382,8 @@
     attempt->candidates = selection.candidates;
     attempt->reading = attempt->target.server->reading;
     routing::on_sent(*attempt->target.server);
+    set_waiting(false);
+    admission::on_attempt_began(gateway_.load_meters[service_]);
     request::apply(progress_, progress_event::bytes_left);
     tried_servers_.push_back(attempt->target.server);
     attempts_.push_back(attempt);
@@ -349,6 +402,9 @@
     attempt->result = co_await handler->gateway_.backend_connections.exchange(
         attempt->target.connection, message, handler->deadline_);
     attempt->finished = true;
+    admission::on_attempt_ended(handler->gateway_.load_meters[handler->service_],
+                                attempt->result.outcome == exchange_outcome::answered,
+                                core::boot_clock_now());
     if (attempt->settled)
     {
         // The attempt was cancelled.
--- a/src/net/request_handler.hpp
+++ b/src/net/request_handler.hpp
@@ -39,6 +39,8 @@
     asio::awaitable<std::optional<request::refusal>> admit();
     asio::awaitable<void> wait_for_configuration();
     std::optional<request::refusal> resolve_route_and_account();
+    /// Returns the refusal if the selected service has no capacity left for the request's priority.
+    std::optional<request::refusal> admit_to_service();
     /// Sends the request to backend servers until one responds or no further attempt is allowed.
     asio::awaitable<http_response> forward();
     /// Returns whether an attempt was started.
@@ -55,7 +57,9 @@
     void settle_failure(request_attempt& attempt, core::time_point now);
     /// Returns the number of attempts whose result has not been evaluated.
     std::size_t open_attempt_count() const;
-    admission::placement current_placement() const;
+    admission::placement current_placement();
+    /// Records whether the request waits for a server of its service.
+    void set_waiting(bool waiting);
     std::optional<core::duration> service_pause(core::time_point now) const;
     std::optional<core::time_point> hedge_time() const;
     bool may_send_now(core::time_point now) const;
@@ -82,6 +86,11 @@
     /// What decided on the account's rate; nothing if no limit applies or none was looked up.
     std::optional<limits::grant_source> grant_source_;
     std::string service_;
+    std::uint32_t priority_ = 0;      ///< Of the account if it has one, else of the route.
+    double admission_fraction_ = 0.0; ///< For admission::decide.
+    /// The last decision; nothing before the request's service is selected.
+    std::optional<admission::admission_decision> admission_;
+    bool is_waiting_ = false; ///< See set_waiting.
     core::time_point arrived_;
     core::time_point first_asked_at_; ///< When the caller made its first attempt, if that is known.
     core::time_point deadline_;       ///< The response must have left the daemon by then.
--- a/src/net/request_log.cpp
+++ b/src/net/request_log.cpp
@@ -31,6 +31,11 @@
         // The query may hold what callers keep private.
         line["path"] = outcome.path.substr(0, std::min(outcome.path.find('?'), max_logged_text));
     }
+    if (outcome.admission)
+    {
+        line["priority"] = outcome.priority;
+        line["admission"] = admission::to_string(*outcome.admission);
+    }
     if (outcome.grant_source)
     {
         line["rate_decided_by"] = limits::to_string(*outcome.grant_source);
--- a/src/net/request_log.hpp
+++ b/src/net/request_log.hpp
@@ -1,6 +1,7 @@
 /// The log line of a request that has ended.
 #pragma once
 
+#include "admission/priority_admission.hpp"
 #include "limits/account_pools.hpp"
 
 #include <boost/json.hpp>
@@ -25,6 +26,9 @@
     std::string_view account;           ///< Empty if none was determined.
     std::optional<limits::grant_source> grant_source; ///< What decided on the account's rate.
     std::string_view service;                         ///< Empty if none was selected.
+    std::uint32_t priority = 0;                       ///< 0 is the most urgent.
+    /// How the service admitted it; nothing if none was selected.
+    std::optional<admission::admission_decision> admission;
     /// Of the caller, at the request's arrival; zero if this seems to be the first one.
     core::duration since_first_attempt{};
     core::duration duration{};   ///< Since the request arrived.
--- a/src/net/request_outcome.cpp
+++ b/src/net/request_outcome.cpp
@@ -2,6 +2,7 @@
 #include "net/request_handler.hpp"
 
 #include "net/request_log.hpp"
+#include "net/service_admission.hpp"
 #include "routing/candidates.hpp"
 
 namespace zinniaferry::net
@@ -118,8 +119,9 @@
                                             : refusal_reason::no_server;
         const core::duration pause =
             progress_.refusals > 0 ? rejected_retry_after : busy_retry_after;
-        return refuse(
-            {reason, servers_full_ ? refuse_for_capacity(gateway_, service_, now) : pause});
+        return refuse({reason, servers_full_
+                                   ? refuse_for_capacity(gateway_, service_, priority_, now)
+                                   : pause});
     }
     return refuse({.reason = now >= deadline_
                                  ? refusal_reason::deadline
@@ -170,6 +172,8 @@
                           .account = account_,
                           .grant_source = grant_source_,
                           .service = service_,
+                          .priority = priority_,
+                          .admission = admission_,
                           .since_first_attempt = arrived_ - first_asked_at_,
                           .duration = core::boot_clock_now() - arrived_,
                           .attempts = std::move(attempt_log_)}));
