Crowd tests: memory and descriptors under clients that send or read badly

Cause: clients outside the operators' control sent many large bodies at once and ended a process, which ran out of memory. No test showed it.

Change: crowd_check starts the platform's daemon with memory-mb 64 and max-fds 300 (200 for files) and lets small crowds at it: 48 whole bodies of 4 MiB, the same in pieces, the same without their last 10 bytes, 16 unread responses of 12 MiB, and 300 silent connections. It checks that the process lives, its peak of resident memory, its sockets and pipes, one ordinary request afterwards, and one request of the largest size in calm. The bounds are the limits of the settings. run_tests.sh runs it after the fault tests.

--- a/tools/run_tests.sh
+++ b/tools/run_tests.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Runs the unit tests, the fault tests of a fleet of real processes, or both. A failure of a test that KNOWN-RED.txt
-# lists is printed and not counted; a case of the fault tests is listed there as fleet_faults.CASE. The last line is
-# "N passed, N failed".
+# Runs the unit tests, the tests of real processes (faults of a fleet, then crowds of bad clients, one at a time), or
+# both. A failure of a test that KNOWN-RED.txt lists is printed and not counted; a case of the fault tests is listed there
+# as fleet_faults.CASE, one of the crowd tests as crowd.CASE. The last line is "N passed, N failed".
 #
 # usage: tools/run_tests.sh [BUILD_DIR [all|units|faults]]
 set -uo pipefail
@@ -11,7 +11,8 @@
 known=$(grep -oE '^test: [A-Za-z0-9_./]+' KNOWN-RED.txt 2>/dev/null | cut -d' ' -f2)
 log=$(mktemp)
 fault_log=$(mktemp)
-trap 'rm -f "$log" "$fault_log"' EXIT
+crowd_log=$(mktemp)
+trap 'rm -f "$log" "$fault_log" "$crowd_log"' EXIT
 
 passed=0 failed='' unexpected=0
 if [[ $part != faults ]]; then
@@ -35,6 +36,14 @@
     if ((faults != 0)) && [[ -z $failed_cases ]]; then
         unexpected=$((unexpected + 1))
     fi
+    "$build"/bin/crowd_check --daemon "$build/bin/zinniaferry-platform" 2>&1 | tee "$crowd_log"
+    crowds=${PIPESTATUS[0]}
+    passed=$((passed + $(grep -cE '^case [a-z_]+: pass$' "$crowd_log")))
+    failed_cases=$(sed -nE 's/^case ([a-z_]+): fail.*/crowd.\1/p' "$crowd_log")
+    failed+=$'\n'$failed_cases
+    if ((crowds != 0)) && [[ -z $failed_cases ]]; then
+        unexpected=$((unexpected + 1))
+    fi
 fi
 
 for test in $failed; do
