Memory: a common budget for bodies, and a bound of callers' connections

Cause: request bodies were read whole with body-bytes as the only bound and copied for each attempt, responses that nobody read were held, and memory-mb and max-fds of the settings were not read. Clients with many large bodies took a process over its memory.

Change: limits/body_budget decides which body is read, waits or loses its place; room for the whole body is reserved before it is read, an eighth is for bodies of up to 64 KiB, and stalled or late senders close first (408, not run). Without room in 1 s a request is refused with 503 memory_limit (not run, Retry-After). Responses take room as well. Attempts refer to the body instead of copying it, and large blocks are returned to the system. limits/connection_budget bounds callers' connections to half of the sockets; idle ones close first. Nothing is bounded where the settings state no limit. crowd_check ends its stand-ins' connections before it destroys them: one run ended without a verdict after three cases, and destroying them first is what it could have crashed on (not traced).

Tests: endless_bytes passes the new type of a forwarded request and moves the result, the fuzz target compares through a view; neither asserts less.

--- a/apps/crowd_check.cpp
+++ b/apps/crowd_check.cpp
@@ -119,6 +119,13 @@
     {
         io_.stop();
         thread_.join();
+        // Connections still refer to the members, so they end before these are destroyed.
+        boost::system::error_code ignored;
+        store_.stop();
+        acceptor_.close(ignored);
+        stand_in::reset_connections(connections_);
+        io_.restart();
+        io_.run_for(seconds(1));
     }
     stand_ins(const stand_ins&) = delete;
     stand_ins& operator=(const stand_ins&) = delete;
--- a/src/net/backend_connection_pool.cpp
+++ b/src/net/backend_connection_pool.cpp
@@ -2,6 +2,7 @@
 
 #include "net/await_error.hpp"
 #include "net/endpoint.hpp"
+#include "net/read_body.hpp"
 
 #include <array>
 #include <charconv>
@@ -217,7 +218,7 @@
     }
 }
 
-exchange_outcome backend_connection_pool::classify(const http_request& request,
+exchange_outcome backend_connection_pool::classify(const forwarded_request& request,
                                                    const http_response& response) const
 {
     const std::string_view echoed_id = header_value(response.base(), profile_.request_id_header);
@@ -247,7 +248,7 @@
 
 asio::awaitable<exchange_result>
 backend_connection_pool::exchange(backend_connection_pointer connection,
-                                  const http_request& request, core::time_point deadline)
+                                  const forwarded_request& request, core::time_point deadline)
 {
     connection->reusable = false;
     connection->timer.expires_at(deadline);
@@ -261,8 +262,16 @@
         parser.header_limit(max_header_bytes);
         parser.body_limit(max_response_body_bytes);
         parser.skip(request.method() == http::verb::head);
-        co_await http::async_read(connection->socket, connection->buffer, parser,
-                                  redirect_error_to(error));
+        co_await http::async_read_header(connection->socket, connection->buffer, parser,
+                                         redirect_error_to(error));
+        if (!error && !parser.is_done())
+        {
+            out.room = bodies ? held_body(bodies) : held_body();
+            const room_wait wait = {.longest = deadline - core::boot_clock_now(),
+                                    .deadline = deadline};
+            error =
+                co_await read_body(connection->socket, connection->buffer, parser, out.room, wait);
+        }
         if (parser.is_header_done())
         {
             const std::string_view id = header_value(parser.get(), profile_.request_id_header);
--- a/src/net/backend_connection_pool.hpp
+++ b/src/net/backend_connection_pool.hpp
@@ -2,6 +2,7 @@
 /// each response is complete and belongs to its request.
 #pragma once
 
+#include "net/body_room.hpp"
 #include "net/deadline_timer.hpp"
 #include "net/http_profile.hpp"
 #include "net/message_rules.hpp"
@@ -61,6 +62,7 @@
     exchange_outcome outcome = exchange_outcome::broken;
     /// The complete response, if one was read; always present if `outcome` is `answered`.
     std::optional<http_response> response;
+    held_body room; ///< That the body of the response takes.
 };
 
 /// Why a server is probed.
@@ -128,7 +130,7 @@
     /// Sends a request and reads its response, at the latest until `deadline`. `request` must stay
     /// valid until the coroutine ends.
     asio::awaitable<exchange_result> exchange(backend_connection_pointer connection,
-                                              const http_request& request,
+                                              const forwarded_request& request,
                                               core::time_point deadline);
 
     /// Keeps the connection as idle if it is open and reusable, its server still listed and the
@@ -143,6 +145,7 @@
 
     backend_connection_pool_options options;
     backend_connection_pool_counters counters;
+    std::shared_ptr<body_room> bodies; ///< Bounds the bodies of responses; null for no bound.
     /// Called for each response with notice headers, whether somebody waits for it or not; may be
     /// empty.
     std::function<void(const routing::server_lifetime& server, const parsed_notice& notice,
@@ -155,7 +158,8 @@
                        const http::response_header<>& response,
                        routing::notice_source source) const;
     /// Classifies a complete response.
-    exchange_outcome classify(const http_request& request, const http_response& response) const;
+    exchange_outcome classify(const forwarded_request& request,
+                              const http_response& response) const;
 
     asio::io_context& io_;
     const http_profile& profile_;
--- a/src/net/caller_session.cpp
+++ b/src/net/caller_session.cpp
@@ -1,6 +1,7 @@
 #include "net/caller_session.hpp"
 
 #include "net/accept_loop.hpp"
+#include "net/read_body.hpp"
 #include "net/request_handler.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -25,6 +26,11 @@
 constexpr std::size_t read_ahead_bytes = 4UL * 1024UL;
 /// Time for the caller to read its response before its connection is closed.
 constexpr core::duration write_timeout = std::chrono::seconds(10);
+/// Longest time that a request's body waits for memory before it is refused. Others that make
+/// progress are complete by then, as each has a time limit of a few seconds.
+constexpr core::duration max_room_wait = std::chrono::seconds(1);
+/// Retry-After of requests refused for memory.
+constexpr core::duration memory_retry_after = std::chrono::milliseconds(500);
 
 /// A caller's connection; counted in `open_count` while it exists.
 struct caller_connection
@@ -33,20 +39,67 @@
         : sessions(shared), socket(std::move(accepted)), timer(socket)
     {
         ++sessions.open_count;
+        connections->sockets[id] = &socket;
+    }
+    ~caller_connection()
+    {
+        --sessions.open_count;
+        limits::remove_connection(connections->budget, id);
+        connections->sockets.erase(id);
     }
-    ~caller_connection() { --sessions.open_count; }
     caller_connection(const caller_connection&) = delete;
     caller_connection& operator=(const caller_connection&) = delete;
 
     caller_sessions& sessions;
+    std::shared_ptr<caller_connections> connections = sessions.connections;
+    const limits::connection_id id =
+        limits::add_connection(connections->budget, core::boot_clock_now());
     asio::ip::tcp::socket socket;
     deadline_timer timer;
     boost::beast::flat_buffer buffer;
     std::shared_ptr<request_handler> handler; ///< Of the current request.
+    bool lost_place = false;                  ///< A slow body of this caller made room for others.
 };
 
 using caller_connection_pointer = std::shared_ptr<caller_connection>;
 
+void set_phase(const caller_connection& connection, limits::connection_phase phase)
+{
+    limits::set_phase(connection.connections->budget, connection.id, phase, core::boot_clock_now());
+}
+
+// Closes the connection that has to make way for a new one, which may be the new one itself.
+void close_for_descriptors(caller_connection& newest)
+{
+    caller_connections& all = *newest.connections;
+    const auto id = limits::connection_to_close(all.budget, newest.id);
+    if (!id)
+    {
+        return;
+    }
+    error_code ignored;
+    all.sockets.at(*id)->close(ignored);
+    limits::remove_connection(all.budget, *id);
+    gateway& gateway = newest.sessions.gateway;
+    ++gateway.counters.connections_closed;
+    gateway.log.write("callers", "closed_for_descriptors",
+                      {{"connections", all.budget.entries.size()}});
+}
+
+// Returns what closes a caller whose body is slow while others wait for its memory.
+std::function<void()> make_closer(caller_connection& connection)
+{
+    return [&connection]
+    {
+        connection.lost_place = true;
+        error_code ignored;
+        connection.socket.cancel(ignored);
+        const gateway& gateway = connection.sessions.gateway;
+        connection.sessions.gateway.log.write("callers", "slow_body_closed",
+                                              {{"held_bytes", gateway.bodies->budget.held}});
+    };
+}
+
 config::caller_limits current_limits(const gateway& gateway)
 {
     return gateway.configuration ? gateway.configuration->config->limits : config::caller_limits();
@@ -77,10 +130,33 @@
         });
 }
 
+// Writes a response piece by piece, so that the memory of one that is not read can be freed.
+asio::awaitable<error_code> write_large_response(caller_connection& connection,
+                                                 http_response& response, held_body& room)
+{
+    room.begin_transfer(response.body().size(), core::boot_clock_now() + write_timeout,
+                        make_closer(connection));
+    http::response_serializer<http::string_body> serializer(response);
+    error_code error;
+    std::uint64_t written = 0;
+    while (!error && !serializer.is_done())
+    {
+        written += co_await http::async_write_some(connection.socket, serializer,
+                                                   redirect_error_to(error));
+        room.on_progress(written);
+        if (connection.lost_place)
+        {
+            error = asio::error::operation_aborted;
+        }
+    }
+    room.end_transfer();
+    co_return error;
+}
+
 // Without `with_body` only the header is written, whatever coding it states: the last chunk of an
 // empty body would be taken for the beginning of the next response.
 asio::awaitable<bool> write_response(caller_connection& connection, http_response& response,
-                                     bool keep_alive, bool with_body)
+                                     bool keep_alive, bool with_body, held_body room = {})
 {
     // After a request whose framing is ambiguous, the next bytes may belong to it. Its response
     // therefore states that the connection closes.
@@ -88,7 +164,11 @@
     response.keep_alive(keep_alive);
     connection.timer.expires_after(write_timeout);
     error_code error;
-    if (with_body)
+    if (with_body && room.counts())
+    {
+        error = co_await write_large_response(connection, response, room);
+    }
+    else if (with_body)
     {
         co_await http::async_write(connection.socket, response, redirect_error_to(error));
     }
@@ -138,21 +218,49 @@
     co_return !error || (connection.socket.is_open() && connection.socket.available(ignored) > 0);
 }
 
+// Reads the body of a request whose header is complete. A caller that is slow while others wait for
+// memory loses its place, as if its time had passed.
+asio::awaitable<error_code> read_request_body(caller_connection& connection,
+                                              http::request_parser<http::string_body>& parser,
+                                              held_body& room, core::time_point complete_by)
+{
+    const core::time_point waits_from = core::boot_clock_now();
+    const bool has_room =
+        co_await room.wait_for_room(room_needed(parser, 0), waits_from + max_room_wait);
+    if (!has_room)
+    {
+        co_return asio::error::no_memory;
+    }
+    // Waiting for room takes none of the caller's time.
+    complete_by += core::boot_clock_now() - waits_from;
+    connection.timer.expires_at(complete_by);
+    room.begin_transfer(parser.content_length().value_or(0), complete_by, make_closer(connection));
+    const room_wait wait = {.longest = max_room_wait, .deadline = complete_by};
+    const error_code error =
+        co_await read_body(connection.socket, connection.buffer, parser, room, wait);
+    room.end_transfer();
+    co_return error;
+}
+
 // Reads one request into `parser`. Returns beast::error::timeout if `header_timeout` passes before
-// the request is complete.
+// the request is complete, and no_memory if there is no room for its body.
 asio::awaitable<error_code> read_request(caller_connection& connection,
-                                         http::request_parser<http::string_body>& parser)
+                                         http::request_parser<http::string_body>& parser,
+                                         held_body& room)
 {
+    set_phase(connection, limits::connection_phase::reading_header);
     const config::caller_limits limits = current_limits(connection.sessions.gateway);
     parser.header_limit(limits.header_bytes);
     // A pipelined request may already be in the buffer.
     connection.buffer.max_size(
         std::max<std::size_t>(connection.buffer.size(), limits.header_bytes + read_ahead_bytes));
     parser.body_limit(limits.body_bytes);
-    connection.timer.expires_after(limits.header_timeout);
+    const core::time_point complete_by = core::boot_clock_now() + limits.header_timeout;
+    connection.timer.expires_at(complete_by);
     error_code error;
     co_await http::async_read_header(connection.socket, connection.buffer, parser,
                                      redirect_error_to(error));
+    set_phase(connection, limits::connection_phase::serving);
     if (!error && !parser.is_done() &&
         boost::beast::iequals(parser.get()[http::field::expect], "100-continue"))
     {
@@ -162,45 +270,54 @@
     }
     if (!error && !parser.is_done())
     {
-        co_await http::async_read(connection.socket, connection.buffer, parser,
-                                  redirect_error_to(error));
+        room = held_body(connection.sessions.gateway.bodies);
+        error = co_await read_request_body(connection, parser, room, complete_by);
     }
-    const bool timed_out = connection.timer.expired();
+    const bool timed_out = connection.timer.expired() || connection.lost_place;
     connection.timer.clear();
     co_return timed_out ? error_code(boost::beast::error::timeout) : error;
 }
 
 // Handles a request and writes its response. Returns whether the connection stays open.
 asio::awaitable<bool> serve_request(const caller_connection_pointer& connection,
-                                    const http_request& message)
+                                    http_request message, held_body room)
 {
     gateway& gateway = connection->sessions.gateway;
+    const bool is_head = message.method() == http::verb::head;
+    const bool keep_alive = message.keep_alive();
     connection->handler =
-        std::make_shared<request_handler>(gateway, message, core::boot_clock_now());
+        std::make_shared<request_handler>(gateway, std::move(message), core::boot_clock_now());
     cancel_on_disconnect(connection);
     std::optional<http_response> response = co_await connection->handler->run();
+    held_body response_room = connection->handler->take_response_room();
     connection->handler.reset();
+    room = held_body();
     error_code ignored;
     connection->socket.cancel(ignored);
     if (!response)
     {
         co_return false;
     }
-    const bool with_body = has_body(*response, message.method() == http::verb::head);
-    co_return co_await write_response(
-        *connection, *response, message.keep_alive() && !gateway.close_after_response, with_body);
+    const bool with_body = has_body(*response, is_head);
+    co_return co_await write_response(*connection, *response,
+                                      keep_alive && !gateway.close_after_response, with_body,
+                                      std::move(response_room));
 }
 
 // Responds to a request that could not be parsed. Sends nothing if the connection failed or ended.
 asio::awaitable<void> refuse_unparsed(caller_connection& connection, const error_code& error)
 {
-    if (error == http::error::end_of_stream ||
-        error.category() == asio::error::get_system_category())
+    const bool is_failure =
+        error.category() == asio::error::get_system_category() && error != asio::error::no_memory;
+    if (error == http::error::end_of_stream || is_failure)
     {
         co_return;
     }
     gateway& gateway = connection.sessions.gateway;
-    const request::refusal refusal = {.reason = classify_parse_error(error)};
+    const bool has_no_memory = error == asio::error::no_memory;
+    const request::refusal refusal =
+        has_no_memory ? request::refusal{request::refusal_reason::memory_limit, memory_retry_after}
+                      : request::refusal{.reason = classify_parse_error(error)};
     ++gateway.counters.refused.at(static_cast<std::size_t>(refusal.reason));
     gateway.log.write(
         "requests", "unreadable",
@@ -213,7 +330,8 @@
 asio::awaitable<void> serve_caller(caller_sessions& sessions, asio::ip::tcp::socket socket)
 {
     auto connection = std::make_shared<caller_connection>(sessions, std::move(socket));
-    bool keep_open = true;
+    close_for_descriptors(*connection);
+    bool keep_open = connection->socket.is_open();
     while (keep_open)
     {
         // A statement of its own: in a condition `keep_open && co_await ...`, GCC 12 waits for a
@@ -224,14 +342,20 @@
             break;
         }
         http::request_parser<http::string_body> parser;
-        const error_code error = co_await read_request(*connection, parser);
+        held_body room;
+        const error_code error = co_await read_request(*connection, parser, room);
         if (error)
         {
+            // The memory goes to others while the refusal is written.
+            // Assigning an empty string would keep the block.
+            std::string().swap(parser.get().body());
+            room = held_body();
             co_await refuse_unparsed(*connection, error);
             co_return;
         }
-        const http_request message = parser.release();
-        keep_open = co_await serve_request(connection, message);
+        http_request message = parser.release();
+        keep_open = co_await serve_request(connection, std::move(message), std::move(room));
+        set_phase(*connection, limits::connection_phase::idle);
     }
     if (connection->socket.is_open())
     {
--- a/src/net/caller_session.hpp
+++ b/src/net/caller_session.hpp
@@ -2,16 +2,26 @@
 /// reads requests one after another, handles each, and writes the complete response.
 #pragma once
 
+#include "limits/connection_budget.hpp"
 #include "net/gateway.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <memory>
+#include <unordered_map>
 #include <unordered_set>
 
 namespace zinniaferry::net
 {
 
+/// The open connections of callers. Sessions share it, as they may outlive the daemon.
+struct caller_connections
+{
+    limits::connection_budget budget;
+    std::unordered_map<limits::connection_id, asio::ip::tcp::socket*> sockets;
+};
+
 /// State shared by the sessions of one daemon. It must outlive them. Thread safety: the
 /// io_context's thread only; this holds for all functions of this header.
 struct caller_sessions
@@ -20,6 +30,7 @@
     std::size_t open_count = 0; ///< Number of open connections.
     /// Sockets that wait for the first byte of a request.
     std::unordered_set<asio::ip::tcp::socket*> idle_sockets = {};
+    std::shared_ptr<caller_connections> connections = std::make_shared<caller_connections>();
 };
 
 /// Accepts and serves connections until the acceptor is closed. Preconditions: `sessions` outlives
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -75,7 +75,8 @@
                     .data_centre = options.data_centre,
                     .region = options.region,
                     .log = options.log,
-                    .random_seed = random_number()}),
+                    .random_seed = random_number(),
+                    .memory_bytes = options.memory_bytes}),
           sessions_{.gateway = gateway_},
           links_(io_, {options.vm, options.peer_address, options.link_mbps}, random_number(),
                  replica_, gateway_.log, link_callbacks())
@@ -85,6 +86,8 @@
         {
             return links_.request_grant(std::move(account));
         };
+        sessions_.connections->budget.max_open =
+            limits::max_caller_connections(options.max_sockets);
         apply_settings();
     }
 
@@ -466,6 +469,10 @@
 
 core::result<void> run_daemon(const daemon_options& options, const platform_adapter& adapter)
 {
+    if (options.memory_bytes > 0)
+    {
+        return_large_blocks_to_system();
+    }
     const auto process = std::make_unique<daemon>(options, adapter);
     return process->run();
 }
--- a/src/net/daemon.hpp
+++ b/src/net/daemon.hpp
@@ -98,11 +98,13 @@
 {
     std::string vm;
     std::string data_centre;
-    std::uint32_t link_mbps = 0;  ///< Capacity of the VM's link, Mbit/s; 0 if not known.
-    std::string region;           ///< Empty when rates are not divided between regions.
-    std::string caller_address;   ///< Listener for callers; IP address and port, as all here.
-    std::string peer_address;     ///< Listener for other daemons.
-    std::string ready_address;    ///< Listener for readiness only; empty for none.
+    std::uint32_t link_mbps = 0;    ///< Capacity of the VM's link, Mbit/s; 0 if not known.
+    std::uint64_t memory_bytes = 0; ///< That the process may take; 0 for no limit.
+    std::size_t max_sockets = 0;    ///< Sockets and pipes; 0 for no limit.
+    std::string region;             ///< Empty when rates are not divided between regions.
+    std::string caller_address;     ///< Listener for callers; IP address and port, as all here.
+    std::string peer_address;       ///< Listener for other daemons.
+    std::string ready_address;      ///< Listener for readiness only; empty for none.
     std::string admin_address;    ///< Listener for metrics, readiness and the dump; empty for none.
     std::string admin_credential; ///< Bearer credential for the state dump; empty for no dump.
     http_profile profile;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -163,11 +163,13 @@
 gateway::gateway(asio::io_context& io_context, http_profile header_profile,
                  gateway_options initial_options)
     : io(io_context), profile(std::move(header_profile)), options(std::move(initial_options)),
+      bodies(std::make_shared<body_room>(io_context, options.memory_bytes)),
       backend_connections(io, profile), log(options.log), random(options.random_seed)
 {
     accounts.random.seed(random());
     backends.options.own_name = options.vm;
     backends.options.data_centre = options.data_centre;
+    backend_connections.bodies = bodies;
     backend_connections.on_notice = [this](const routing::server_lifetime& server,
                                            const parsed_notice& parsed,
                                            routing::notice_source source)
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -32,6 +32,7 @@
     std::string region; ///< Empty when rates are not divided between regions.
     event_log_options log;
     std::uint64_t random_seed = 1;
+    std::uint64_t memory_bytes = 0; ///< That the process may take; 0 for no limit.
 };
 
 /// Requests since the start of the daemon.
@@ -43,6 +44,7 @@
     std::uint64_t repeats = 0;     ///< Retries and hedges: attempts after a request's first.
     std::uint64_t selections = 0;  ///< Selections of a backend server.
     std::uint64_t unprobed_selections = 0; ///< Selections without a probe, for lack of budget.
+    std::uint64_t connections_closed = 0;  ///< Of callers, for lack of descriptors.
     /// By refusal_reason. Includes requests that could not be parsed, which `requests` does not.
     std::array<std::uint64_t, request::refusal_reason_count> refused{};
 };
@@ -84,6 +86,8 @@
     std::function<asio::awaitable<std::optional<limits::grant>>(std::string)> request_hub_grant;
     limits::retry_budget retry_budget;
     limits::probe_budget probe_budget;
+    /// Of all bodies in memory. Shared with what takes room in it and may outlive the gateway.
+    std::shared_ptr<body_room> bodies;
     backend_connection_pool backend_connections;
     event_log log;
     core::random_generator random;
--- a/src/net/gateway_metrics.cpp
+++ b/src/net/gateway_metrics.cpp
@@ -90,6 +90,16 @@
           number(gateway.log.suppressed_lines()));
     print(out, "gauge", "zinnia_requests_in_progress", "Requests without an answer yet.",
           number(gateway.requests_in_progress));
+    print(out, "counter", "zinnia_caller_connections_closed_total",
+          "Callers' connections closed for lack of descriptors.",
+          number(counters.connections_closed));
+    print(out, "counter", "zinnia_slow_bodies_closed_total",
+          "Callers closed because others waited for the memory of their slow body.",
+          number(gateway.bodies->closed));
+    print(out, "counter", "zinnia_bodies_without_memory_total",
+          "Bodies that got no memory in time.", number(gateway.bodies->refused));
+    print(out, "gauge", "zinnia_body_bytes", "Memory reserved for bodies.",
+          number(gateway.bodies->budget.held));
     print(out, "gauge", "zinnia_caller_connections", "Open connections of callers.",
           number(daemon.caller_connections));
     print(out, "gauge", "zinnia_configuration_version", "Version in force; 0 for none.",
--- a/src/net/message_rules.cpp
+++ b/src/net/message_rules.cpp
@@ -140,10 +140,11 @@
     return out;
 }
 
-http_request make_forwarded_request(const http_request& request, const http_profile& profile,
-                                    const forwarding_info& info)
+forwarded_request make_forwarded_request(const http_request& request, const http_profile& profile,
+                                         const forwarding_info& info)
 {
-    http_request out = request;
+    forwarded_request out(request.base());
+    out.body() = {request.body().data(), request.body().size()};
     remove_hop_by_hop(out.base());
     for (const std::string_view name :
          {std::string_view(profile.key_header), std::string_view(profile.account_header),
--- a/src/net/message_rules.hpp
+++ b/src/net/message_rules.hpp
@@ -7,6 +7,7 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/beast/http/span_body.hpp>
 
 #include <optional>
 #include <string>
@@ -20,6 +21,9 @@
 
 using http_request = http::request<http::string_body>;
 using http_response = http::response<http::string_body>;
+/// A request to a backend server. It refers to the body of the caller's request, as a copy for each
+/// attempt would multiply the memory that the request takes.
+using forwarded_request = http::request<http::span_body<const char>>;
 
 /// Limit for the headers of backend servers' responses and of status requests, and for the bodies
 /// of probe responses and of status requests.
@@ -60,9 +64,10 @@
 };
 
 /// Returns the request as it is sent to a backend server: without the caller's key and hop-by-hop
-/// headers, and with the headers of `info`. Thread safe.
-http_request make_forwarded_request(const http_request& request, const http_profile& profile,
-                                    const forwarding_info& info);
+/// headers, and with the headers of `info`. Precondition: `request` outlives the result. Thread
+/// safe.
+forwarded_request make_forwarded_request(const http_request& request, const http_profile& profile,
+                                         const forwarding_info& info);
 
 /// Removes the hop-by-hop headers and those that a backend server sends to the daemon only, such as
 /// its load and how long it wants nothing. Not thread safe.
--- a/src/net/request_handler.cpp
+++ b/src/net/request_handler.cpp
@@ -33,9 +33,8 @@
 
 } // namespace
 
-request_handler::request_handler(gateway& gateway, const http_request& message,
-                                 core::time_point arrived)
-    : gateway_(gateway), message_(message), arrived_(arrived), first_asked_at_(arrived),
+request_handler::request_handler(gateway& gateway, http_request message, core::time_point arrived)
+    : gateway_(gateway), message_(std::move(message)), arrived_(arrived), first_asked_at_(arrived),
       wake_timer_(gateway.io)
 {
 }
@@ -334,17 +333,19 @@
     request::apply(progress_, progress_event::bytes_left);
     tried_servers_.push_back(attempt->target.server);
     attempts_.push_back(attempt);
-    http_request message = make_forwarded_request(message_, gateway_.profile,
-                                                  {.server_id = attempt->target.server->listed.id,
-                                                   .account = account_,
-                                                   .time_left = deadline_ - now});
+    // `message` refers to the body in message_, which the handler owns as long as run_attempt runs.
+    forwarded_request message =
+        make_forwarded_request(message_, gateway_.profile,
+                               {.server_id = attempt->target.server->listed.id,
+                                .account = account_,
+                                .time_left = deadline_ - now});
     asio::co_spawn(gateway_.io, run_attempt(shared_from_this(), attempt, std::move(message)),
                    asio::detached);
 }
 
 asio::awaitable<void> request_handler::run_attempt(std::shared_ptr<request_handler> handler,
                                                    std::shared_ptr<request_attempt> attempt,
-                                                   http_request message)
+                                                   forwarded_request message)
 {
     attempt->result = co_await handler->gateway_.backend_connections.exchange(
         attempt->target.connection, message, handler->deadline_);
--- a/src/net/request_handler.hpp
+++ b/src/net/request_handler.hpp
@@ -21,8 +21,8 @@
 class request_handler : public std::enable_shared_from_this<request_handler>
 {
 public:
-    /// Preconditions: `gateway` and `message` outlive run(); `arrived` is not in the future.
-    request_handler(gateway& gateway, const http_request& message, core::time_point arrived);
+    /// Preconditions: `gateway` outlives run(); `arrived` is not in the future.
+    request_handler(gateway& gateway, http_request message, core::time_point arrived);
     request_handler(const request_handler&) = delete;
     request_handler& operator=(const request_handler&) = delete;
 
@@ -30,6 +30,9 @@
     /// called at most once.
     asio::awaitable<std::optional<http_response>> run();
 
+    /// Returns the room of the response that run() has returned.
+    held_body take_response_room() { return std::move(response_room_); }
+
     /// Cancels the request and its attempts because the caller has disconnected.
     void cancel();
 
@@ -46,7 +49,7 @@
     void start_attempt(backend_selection selection);
     static asio::awaitable<void> run_attempt(std::shared_ptr<request_handler> handler,
                                              std::shared_ptr<request_attempt> attempt,
-                                             http_request message);
+                                             forwarded_request message);
     /// The settle functions evaluate the result of an attempt. They return the response if it is
     /// the one for the caller.
     std::optional<http_response> settle_finished_attempts();
@@ -72,7 +75,7 @@
     void log_outcome(std::string_view outcome, unsigned status);
 
     gateway& gateway_;
-    const http_request& message_;
+    const http_request message_;
     request_description description_;
     std::shared_ptr<const config::configuration_index> configuration_; ///< Owns `route_`.
     const config::route* route_ = nullptr;
@@ -97,6 +100,7 @@
     std::optional<request::refusal_reason> last_failure_reason_; ///< Of the last failed attempt.
     /// Error response of a server, returned unless a later attempt succeeds.
     std::optional<http_response> error_response_;
+    held_body response_room_;        ///< Of the last response that was kept.
     boost::json::array attempt_log_; ///< Log fields of the attempts.
 };
 
--- a/src/net/request_outcome.cpp
+++ b/src/net/request_outcome.cpp
@@ -73,6 +73,7 @@
     const core::time_point now = core::boot_clock_now();
     record_reported_load(attempt, gateway_.profile, now);
     gateway_.backend_connections.put_back(server, attempt.target.connection);
+    response_room_ = std::move(attempt.result.room);
     if (attempt.result.response->result_int() < 500)
     {
         routing::on_response(gateway_.backends, server, latency, statistics_->latency.median, now);
--- a/src/request/refusal.cpp
+++ b/src/request/refusal.cpp
@@ -22,6 +22,7 @@
     {"headers_too_large", 431, true},
     {"body_too_large", 413, true},
     {"slow_request", 408, true},
+    {"memory_limit", 503, true},
     {"unknown_key", 401, true},
     {"unknown_route", 404, true},
     {"over_limit", 429, true},
--- a/src/request/refusal.hpp
+++ b/src/request/refusal.hpp
@@ -15,6 +15,7 @@
     headers_too_large,
     body_too_large,
     slow_request, ///< The request did not arrive completely in time.
+    memory_limit, ///< The daemon has no memory for the body.
     unknown_key,  ///< The API key is missing or belongs to no account.
     unknown_route,
     over_limit,       ///< The account has used up its rate.
--- a/test/correctness/platform/decode_test.cpp
+++ b/test/correctness/platform/decode_test.cpp
@@ -140,7 +140,7 @@
     "listen":{"front":"10.1.0.30:8782","ready":"10.1.0.30:8789","control":"10.1.0.30:8783"},
     "seeds":["10.1.0.30:8783",7,"10.2.0.22:8783"],"new-field":{"x":1},
     "bounds":["quota-window-s=5","retry-budget-ratio=0.25","strict-revoke=false","odd","x=y"],
-    "limits":{"cpu-share":0.5,"link-mbps":200.0},
+    "limits":{"cpu-share":0.5,"link-mbps":200.0,"memory-mb":260,"max-fds":4100},
     "provider":{"address":"10.200.1.7:8784"}})";
 
 std::string error_path(const std::string& text)
@@ -167,6 +167,9 @@
     EXPECT_EQ(read.retry_budget_ratio, 0.25);
     EXPECT_EQ(read.quota_window, 5s);
     EXPECT_EQ(read.link_mbps, 200U);
+    EXPECT_EQ(read.memory_mb, 260U);
+    EXPECT_EQ(read.max_sockets, 3900U);
+    EXPECT_EQ(read_settings(replaced(settings_text, "4100", "200"), "f").value().max_sockets, 0U);
     EXPECT_EQ(read_settings(replaced(settings_text, "200.0", "-1"), "f").value().link_mbps, 0U);
     EXPECT_EQ(read.stop_grace, 6s) << "the default";
 }
--- a/test/error/net/endless_bytes_test.cpp
+++ b/test/error/net/endless_bytes_test.cpp
@@ -37,7 +37,7 @@
         {
             io.run_one();
         }
-        return *out;
+        return std::move(*out);
     }
 
     backend_connection_pointer connect(backend_connection_pool& pool)
@@ -62,7 +62,7 @@
 TEST_P(endless_response, to_a_request_ends_the_connection)
 {
     backend_connection_pool pool(io, profile);
-    http_request request(http::verb::get, "/", 11);
+    forwarded_request request(http::verb::get, "/", 11);
     request.set(profile.request_id_header, "r-1");
     backend_connection_pointer connection = connect(pool);
     ASSERT_TRUE(connection);
--- a/test/fuzz/http_request.cpp
+++ b/test/fuzz/http_request.cpp
@@ -21,7 +21,7 @@
     fuzz::require(known->path.starts_with("/"), "the target of a valid request must be a path");
     fuzz::require(!known->time_left || *known->time_left >= core::duration::zero(),
                   "the remaining time must not be negative");
-    const net::http_request forwarded = net::make_forwarded_request(
+    const net::forwarded_request forwarded = net::make_forwarded_request(
         request, profile, {.server_id = "s-1", .time_left = std::chrono::seconds(1)});
     for (const std::string& name :
          {profile.key_header, profile.account_header, std::string("Connection"),
@@ -30,7 +30,8 @@
         fuzz::require(net::header_value(forwarded.base(), name).empty(),
                       "the caller's key, account and hop-by-hop headers must not be forwarded");
     }
-    fuzz::require(forwarded.body() == request.body(), "the body must be forwarded unchanged");
+    const std::string_view body(forwarded.body().data(), forwarded.body().size());
+    fuzz::require(body == request.body(), "the body must be forwarded unchanged");
 }
 
 } // namespace
