--- a/deploy/sources.cmake
+++ b/deploy/sources.cmake
@@ -8,8 +8,9 @@
     core/command_line core/compression core/digest core/error core/hash
     fleet/fleet_view fleet/hub_choice fleet/hub_messages fleet/load_encoding fleet/registry fleet/replica
     fleet/report_echoes fleet/service_loads
-    limits/account_pools limits/probe_budget limits/retry_budget limits/token_bucket
-    net/backend_connection_pool net/backend_selection net/caller_session net/daemon net/daemon_program
+    limits/account_pools limits/body_budget limits/connection_budget limits/probe_budget limits/retry_budget
+    limits/token_bucket
+    net/backend_connection_pool net/backend_selection net/body_room net/caller_session net/daemon net/daemon_program
     net/deadline_timer net/endpoint net/event_log net/gateway net/gateway_metrics net/grant_requests net/http_client
     net/hub_links net/hub_subscribers net/load_output net/message_rules net/notice_headers net/peer_link
     net/process_lifecycle net/request_attempt net/request_durations net/request_handler net/request_log
