--- a/apps/crowd_check.cpp
+++ b/apps/crowd_check.cpp
@@ -323,6 +323,7 @@
                                                  const std::function<void(client&)>& act)
 {
     std::vector<std::unique_ptr<client>> clients;
+    clients.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
     {
         clients.push_back(std::make_unique<client>(to));
