--- a/test/correctness/fleet/hub_messages_test.cpp
+++ b/test/correctness/fleet/hub_messages_test.cpp
@@ -93,13 +93,39 @@
         loads[i].setRunning(i == 0 ? 4'000'000'000U : 1U);
         loads[i].setWaiting(i == 1 ? 4'000'000'000U : 0U);
         loads[i].setCompletions(i == 2 ? 4'000'000'000U : 0U);
-        loads[i].initArrivals(i == 3 ? 9 : 1);
+        loads[i].initByPriority(i == 3 ? 17 : 1);
     }
     const auto kept = read_loads(loads.asReader());
     ASSERT_EQ(kept.size(), 1U);
     EXPECT_EQ(kept[0].service, "s4");
 }
 
+// Guards against loads that take more than a daemon may spend on control at the two-year size
+// (docs/design.md, section 1.4): 2 KB/s, here with six services and two hubs. Every 0.4 s a daemon
+// sends two reports, and gets two updates, one of them with sums.
+TEST(hub_messages, the_loads_of_six_services_fit_into_the_budget_for_control)
+{
+    report_message report{
+        .primary = true, .selection_rate = 3.5F, .number = 200, .primary_time = 400ms};
+    update_message update{.revision = 4000, .age = 20ms, .last_report = 200};
+    const std::size_t heartbeat_bytes = encode_frame(update).size();
+    for (int i = 0; i < 6; ++i)
+    {
+        stated_load own{"captions-live-" + std::to_string(i),
+                        {.running = 1.0, .waiting = 1.0, .completions = 1.37}};
+        own.load.by_priority[0].arrivals = 0.83;
+        own.load.by_priority[1] = {.arrivals = 1.52, .rejections = 0.4};
+        report.loads.push_back(own);
+        own.load.running = 140.0;
+        own.load.completions = 410.37;
+        own.load.by_priority[1] = {.arrivals = 388.5, .rejections = 77.4};
+        update.loads.push_back(own);
+    }
+    const std::size_t bytes =
+        2 * encode_frame(report).size() + encode_frame(update).size() + heartbeat_bytes;
+    EXPECT_LT(static_cast<double>(bytes) / 0.4, 2048.0);
+}
+
 // Guards against bytes from a faulty peer that crash the decoder, and with it the daemon.
 TEST(hub_messages, truncated_and_corrupted_messages_are_rejected_or_decoded_safely)
 {
@@ -145,6 +171,22 @@
     }
 }
 
+// Guards against a compressed message that is refused because of its content, and with it a
+// subscriber that leaves its hub: 586 of 5000 messages like these were.
+TEST(hub_messages, compressed_messages_are_read_whatever_their_content)
+{
+    update_message update{
+        .revision = 1, .complete = true, .changes = {{"config", std::string(9000, 'c'), 1}}};
+    int refused = 0;
+    for (int age_ms = 0; age_ms < 1000; ++age_ms)
+    {
+        update.age = age_ms * 1ms;
+        const std::string frame = encode_frame(update, compression::allowed);
+        refused += decode(frame.substr(frame_length_bytes)) == hub_message(update) ? 0 : 1;
+    }
+    EXPECT_EQ(refused, 0);
+}
+
 // Guards against the list of a large fleet that fills the link of a hub whenever a member joins or
 // leaves.
 TEST(hub_messages, the_list_of_a_large_fleet_is_small_when_compressed)
