Placement: estimate of the time at a server, and the rejected share of a service

Change: routing/work_time learns the usual time of a route without the effects of load, its margin, and the effect of a server's occupancy; expected_time and would_outlive compare the time at a server with what is left. limits/rejections keeps the rejected share of a service and decides what the retry budget is kept for.

--- a/src/admission/placement.cpp
+++ b/src/admission/placement.cpp
@@ -19,9 +19,8 @@
            core::to_seconds(request.objective) * late_wait_fraction;
 }
 
-} // namespace
-
-placement place(const waiting_request& request)
+// The placement by the objective alone.
+placement place_by_objective(const waiting_request& request)
 {
     const core::duration likely_latency =
         core::from_seconds(core::to_seconds(request.usual_latency) * latency_margin);
@@ -39,6 +38,16 @@
     return {.accepted = routing::queueing::in_time, .max_delay = max_delay, .waits = true};
 }
 
+} // namespace
+
+placement place(const waiting_request& request)
+{
+    placement out = place_by_objective(request);
+    out.limit = request.limit;
+    out.waits = out.waits && request.may_fit;
+    return out;
+}
+
 placement place_hedge(core::duration usual_latency)
 {
     return {.accepted = routing::queueing::spare, .max_delay = usual_latency / 2};
--- a/src/admission/placement.hpp
+++ b/src/admission/placement.hpp
@@ -1,6 +1,7 @@
 /// Decides which servers a request may be sent to while its service is busy, and whether it waits
 /// for one. Requests that can still be in time come first: a response that is late in any case is
-/// worth less, and the work for it makes others late.
+/// worth less, and the work for it makes others late. A request that may run only once goes to no
+/// server at which it would outlive its time limit: it could not be sent again.
 ///
 /// Load pattern: a burst above the service's capacity. If every request takes a place in a queue,
 /// each waits for the work of those before it, and all responses are late.
@@ -9,6 +10,8 @@
 #include "core/time.hpp"
 #include "routing/candidates.hpp"
 
+#include <optional>
+
 namespace zinniaferry::admission
 {
 
@@ -20,6 +23,9 @@
     core::duration objective{};           ///< Latency that the caller expects.
     core::duration usual_latency{};       ///< From sending to the response; zero if not known.
     core::duration response_transit{};    ///< From the daemon to the caller.
+    /// Of a request that may run only once.
+    std::optional<routing::run_limit> limit;
+    bool may_fit = true; ///< A server of usual speed would end it within `limit`.
 };
 
 /// Which servers a request may be sent to now.
@@ -28,6 +34,8 @@
     routing::queueing accepted = routing::queueing::in_time;
     core::duration max_delay = core::duration::max(); ///< Beyond the usual latency.
     bool waits = false; ///< If no server is acceptable now, another selection may find one.
+    /// Servers at which the request would outlive this limit are not acceptable.
+    std::optional<routing::run_limit> limit;
 };
 
 /// Returns the placement of a request that is not at a server. Thread safe.
--- a/src/limits/retry_budget.cpp
+++ b/src/limits/retry_budget.cpp
@@ -1,6 +1,7 @@
 #include "limits/retry_budget.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace zinniaferry::limits
 {
@@ -23,6 +24,12 @@
     return budget.tokens.try_emplace(service, 1.0).first->second;
 }
 
+// The number of retries that a finite `required` amounts to at this daemon.
+double reachable(const retry_budget& budget, double required)
+{
+    return std::isinf(required) ? required : std::min(required, max_tokens(budget));
+}
+
 } // namespace
 
 void on_first_attempt(retry_budget& budget, const std::string& service)
@@ -31,20 +38,19 @@
     tokens = std::min(max_tokens(budget), tokens + budget.options.ratio);
 }
 
-bool has_retry(const retry_budget& budget, const std::string& service)
+bool has_retry(const retry_budget& budget, const std::string& service, double required)
 {
     const auto found = budget.tokens.find(service);
-    return found != budget.tokens.end() && found->second >= 1.0;
+    return found != budget.tokens.end() && found->second >= reachable(budget, required);
 }
 
-bool take_retry(retry_budget& budget, const std::string& service)
+bool take_retry(retry_budget& budget, const std::string& service, double required)
 {
-    double& tokens = tokens_of(budget, service);
-    if (tokens < 1.0)
+    if (tokens_of(budget, service) < reachable(budget, required))
     {
         return false;
     }
-    tokens -= 1.0;
+    tokens_of(budget, service) -= 1.0;
     return true;
 }
 
--- a/src/limits/retry_budget.hpp
+++ b/src/limits/retry_budget.hpp
@@ -3,6 +3,8 @@
 /// the fleet's budget without any message between daemons.
 #pragma once
 
+#include "limits/rejections.hpp"
+
 #include <cstddef>
 #include <string>
 #include <unordered_map>
@@ -23,6 +25,7 @@
     retry_budget_options options;
     std::size_t members = 1;                        ///< Daemons that share the slack.
     std::unordered_map<std::string, double> tokens; ///< Retries left, by service.
+    std::unordered_map<std::string, rejections> rejections_by_service;
 };
 
 /// Not thread safe: calls on one retry_budget must not run concurrently.
@@ -32,9 +35,11 @@
 void on_first_attempt(retry_budget& budget, const std::string& service);
 
 /// Returns whether take_retry would succeed.
-bool has_retry(const retry_budget& budget, const std::string& service);
+bool has_retry(const retry_budget& budget, const std::string& service, double required = 1.0);
 
-/// Takes one retry. Returns false when the budget does not allow it.
-bool take_retry(retry_budget& budget, const std::string& service);
+/// Takes one retry if the budget holds at least `required` ones; returns whether it did. A finite
+/// number above what this daemon may save up counts as that; infinity allows none. Precondition:
+/// `required` >= 1.
+bool take_retry(retry_budget& budget, const std::string& service, double required = 1.0);
 
 } // namespace zinniaferry::limits
--- a/src/routing/backends.cpp
+++ b/src/routing/backends.cpp
@@ -71,6 +71,13 @@
     server.error_rate_updated_at = now;
 }
 
+void record_slowness(backend& server, double ratio, core::time_point now)
+{
+    const double previous = slowness(server, now);
+    server.slowness = previous + server_ewma_weight * (std::clamp(ratio, 0.2, 10.0) - previous);
+    server.slowness_updated_at = now;
+}
+
 void mark_cold(backend& server, core::duration warmup, core::time_point now, backend_event event)
 {
     server.cold_until = now + warmup;
@@ -131,8 +138,9 @@
 
 const char* to_string(pass_over_reason value)
 {
-    constexpr std::array names = {"draining",     "out_of_service", "leaving", "retry_later",
-                                  "unresponsive", "suspect",        "cold",    "no_capacity"};
+    constexpr std::array names = {"draining",    "out_of_service", "leaving",
+                                  "retry_later", "unresponsive",   "suspect",
+                                  "cold",        "no_capacity",    "too_slow"};
     return names.at(static_cast<std::size_t>(value));
 }
 
@@ -257,6 +265,13 @@
     server.in_flight -= server.in_flight > 0 ? 1 : 0;
 }
 
+void record_slowdown(backend_set& set, const backend& server, const load_reading& reading)
+{
+    double& usual = set.service_states[server.listed.service].usual_slowdown;
+    const double slowdown = std::clamp(reading.slowdown, 1.0, max_believed_slowdown);
+    usual += service_ewma_weight * (slowdown - usual);
+}
+
 void on_load_reading(backend& server, const load_reading& reading, core::duration warmup_left)
 {
     server.reading = reading;
@@ -297,10 +312,18 @@
     {
         return;
     }
-    const double ratio = std::clamp(latency_s / core::to_seconds(usual_latency), 0.2, 10.0);
-    const double previous = slowness(server, now);
-    server.slowness = previous + server_ewma_weight * (ratio - previous);
-    server.slowness_updated_at = now;
+    record_slowness(server, latency_s / core::to_seconds(usual_latency), now);
+}
+
+void on_unfinished(backend& server, core::duration at_least, core::duration usual_latency,
+                   core::time_point now)
+{
+    const double ratio =
+        core::to_seconds(at_least) / std::max(1e-3, core::to_seconds(usual_latency));
+    if (usual_latency > core::duration::zero() && ratio > slowness(server, now))
+    {
+        record_slowness(server, ratio, now);
+    }
 }
 
 void on_failed(backend& server, failure_kind kind, core::time_point now)
--- a/src/routing/backends.hpp
+++ b/src/routing/backends.hpp
@@ -6,6 +6,7 @@
 #include "core/time.hpp"
 #include "routing/load_reading.hpp"
 #include "routing/server_notices.hpp"
+#include "routing/work_time.hpp"
 
 #include <boost/json.hpp>
 
@@ -84,12 +85,16 @@
     core::duration latency{}; ///< Moving average; zero before the first response.
     double warmup_rate = 1.0; ///< Requests/s that a cold server tolerates from all daemons.
     core::duration warmup{};  ///< How long a server is cold after its start.
+    occupancy_effect occupancy;
+    /// Moving average of the reported slowdowns; expected of a server without a recent report.
+    double usual_slowdown = 1.0;
 };
 
 /// Usual latency of a route's requests.
 struct route_latency
 {
     core::duration median{}; ///< Estimate; zero before the first response.
+    work_time work;          ///< The same without the effects of the servers' load.
 };
 
 /// Updates the median with the latency of one response. Not thread safe.
@@ -115,10 +120,11 @@
     unresponsive,   ///< A load probe is late or was not answered.
     suspect,        ///< It failed, and others of its service have not.
     cold,           ///< It is warming up and may get nothing now, or others are warm.
-    no_capacity     ///< It responded, but has no capacity for the request.
+    no_capacity,    ///< It responded, but has no capacity for the request.
+    too_slow        ///< The request may run only once and would outlive its time limit there.
 };
 inline constexpr std::size_t pass_over_reason_count =
-    static_cast<std::size_t>(pass_over_reason::no_capacity) + 1;
+    static_cast<std::size_t>(pass_over_reason::too_slow) + 1;
 
 /// All backend servers known to this daemon.
 struct backend_set
@@ -197,6 +203,8 @@
 
 /// Records that a request is sent to the server.
 void on_sent(backend& server);
+/// Records a load that the server reported for its service's usual slowdown.
+void record_slowdown(backend_set& set, const backend& server, const load_reading& reading);
 /// Records a load that the server reported. A `warmup_left` above zero makes a serving or
 /// suspect server cold.
 void on_load_reading(backend& server, const load_reading& reading, core::duration warmup_left);
@@ -204,6 +212,10 @@
 /// it is not known.
 void on_response(backend_set& set, backend& server, core::duration latency,
                  core::duration usual_latency, core::time_point now);
+/// Records that a request had no response when it was ended after `at_least`, as a slowness of the
+/// server unless it is known to be slower. To be followed by on_failed.
+void on_unfinished(backend& server, core::duration at_least, core::duration usual_latency,
+                   core::time_point now);
 /// Records a failed request, which on_sent has counted. The server becomes suspect when it was
 /// unreachable or the wrong one, or when its error rate is high.
 void on_failed(backend& server, failure_kind kind, core::time_point now);
--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -24,9 +24,6 @@
 /// When callers of a service whose servers all leave are to retry: a new server is usually listed
 /// by then.
 constexpr core::duration leaving_service_pause = std::chrono::seconds(1);
-/// Factor on the expected time in a server's queue: the work ahead of a request takes longer as
-/// often as shorter, and a queue must not make the response late.
-constexpr double queue_time_margin = 1.5;
 /// Members of the fleet that send to one cold server.
 constexpr std::size_t senders_per_cold_server = 2;
 
@@ -91,6 +88,12 @@
     return found == set.service_states.end() ? 0.0 : core::to_seconds(found->second.latency);
 }
 
+double usual_slowdown(const backend_set& set, const std::string& service)
+{
+    const auto found = set.service_states.find(service);
+    return found == set.service_states.end() ? 1.0 : found->second.usual_slowdown;
+}
+
 bool is_unresponsive(const backend& server, core::time_point now)
 {
     return now < server.skip_until ||
@@ -219,6 +222,51 @@
     return expected_wait * queue_time_margin + slowdown_delay <= core::to_seconds(max_delay);
 }
 
+time_at_server expected_time(const backend_set& set, const backend& server,
+                             core::duration usual_work, core::time_point now)
+{
+    const auto found = set.service_states.find(server.listed.service);
+    const occupancy_effect effect =
+        found == set.service_states.end() ? occupancy_effect() : found->second.occupancy;
+    const double factor = load_factor(effect, load_when_sent(set, server, now), now) *
+                          std::max(1.0, slowness(server, now));
+    time_at_server out{.work = core::from_seconds(core::to_seconds(usual_work) * factor)};
+    if (is_full(server, now))
+    {
+        const load_reading& reading = *server.reading;
+        const double slots = std::max(1U, reading.slots);
+        const double ahead = reading.running + reading.waiting + 1.0 - slots;
+        out.queue = core::from_seconds(service_latency(set, server) * ahead / slots);
+    }
+    return out;
+}
+
+bool would_outlive(const backend_set& set, const backend& server, const run_limit& limit,
+                   core::time_point now)
+{
+    return would_outlive(limit, expected_time(set, server, limit.work.usual, now),
+                         usual_slowdown(set, server.listed.service));
+}
+
+bool may_fit(const backend_set& set, const std::string& service, const run_limit& limit)
+{
+    return !would_outlive(limit, {.work = limit.work.usual}, usual_slowdown(set, service));
+}
+
+load_at_send load_when_sent(const backend_set& set, const backend& server, core::time_point now)
+{
+    if (!is_fresh(server, now))
+    {
+        const double slots = std::max(1U, server.listed.slots);
+        return {.occupancy = (server.in_flight + 1.0) / slots,
+                .slowdown = usual_slowdown(set, server.listed.service)};
+    }
+    const load_reading& reading = *server.reading;
+    const double slots = std::max(1U, reading.slots);
+    const std::uint32_t at_server = std::max(server.in_flight, reading.running + reading.waiting);
+    return {.occupancy = (at_server + 1.0) / slots, .slowdown = reading.slowdown};
+}
+
 double expected_cost(const backend_set& set, const backend& server, core::time_point now)
 {
     const double slots = std::max(1U, server.listed.slots);
--- a/src/routing/candidates.hpp
+++ b/src/routing/candidates.hpp
@@ -67,6 +67,24 @@
 bool has_capacity(const backend_set& set, const backend& server, queueing accepted,
                   core::duration max_delay, core::time_point now);
 
+/// Returns the expected time at the server of a request of a route that usually takes
+/// `usual_work` there. Its queue, its slowdown and its occupancy are as it reported them a moment
+/// ago (see load_when_sent), its slowness and the effect of the occupancy as learned.
+time_at_server expected_time(const backend_set& set, const backend& server,
+                             core::duration usual_work, core::time_point now);
+
+/// Returns whether a request that may run only once would outlive its limit at the server.
+bool would_outlive(const backend_set& set, const backend& server, const run_limit& limit,
+                   core::time_point now);
+
+/// Returns whether a server of the service that is idle and of usual speed would end the request
+/// within its limit, so that waiting for one makes sense.
+bool may_fit(const backend_set& set, const std::string& service, const run_limit& limit);
+
+/// Returns the load of the server with one more request. Without a recent report, it runs this
+/// daemon's requests at its service's usual slowdown.
+load_at_send load_when_sent(const backend_set& set, const backend& server, core::time_point now);
+
 /// Returns whether a candidate may get the request that it was selected for. `selected_cold` is
 /// whether it was cold then, and has used its cold token. One that has turned cold since, as its
 /// load probe may show, needs a token now. Not thread safe.
--- a/test/correctness/admission/placement_test.cpp
+++ b/test/correctness/admission/placement_test.cpp
@@ -35,6 +35,19 @@
     EXPECT_FALSE(out.waits);
 }
 
+// Guards against holding a request that may run only once until its time limit is too near for any
+// server, and against a limit that gets lost on the way to the selection.
+TEST(placement, a_request_that_fits_no_server_any_more_does_not_wait)
+{
+    waiting_request once = new_request;
+    once.limit = {.left = 400ms};
+    EXPECT_TRUE(place(once).waits);
+    EXPECT_EQ(place(once).limit->left, 400ms);
+    once.may_fit = false;
+    EXPECT_FALSE(place(once).waits);
+    EXPECT_FALSE(place(new_request).limit);
+}
+
 // Guards against halving the capacity of a service whose responses are all late: there is no other
 // request to leave a slot to.
 TEST(placement, requests_of_a_route_that_is_always_late_take_any_free_slot)
