Placement: requests that may run only once avoid servers they would outlive

Change: selections pass the limit of a non-idempotent request on and leave out servers on which it would outlive it (reason too_slow); attempts that time out are learned from. While a service rejects requests, hedges take no retries, and callers who were refused before come first. Log fields servers_too_slow, rejected_share, expected_ms; gauge zinnia_rejecting_services.

The cause of most 504s is not removed yet; see docs/design/placement.md.

--- a/src/net/backend_selection.cpp
+++ b/src/net/backend_selection.cpp
@@ -126,6 +126,7 @@
     }
     const routing::load_reading reading = result.load.value_or(routing::load_reading{
         .slots = server->listed.slots, .received_at = core::boot_clock_now()});
+    routing::record_slowdown(gateway.backends, *server, reading);
     routing::on_load_reading(*server, reading, result.warmup_left);
     co_return connection->reusable ? connection : nullptr;
 }
@@ -148,18 +149,35 @@
     probes->probe_ended.cancel();
 }
 
-// Returns whether the candidate is good enough to end the selection.
+bool is_too_slow(const gateway& gateway, const routing::backend& server,
+                 const selection_criteria& criteria, core::time_point now)
+{
+    if (!criteria.limit)
+    {
+        return false;
+    }
+    routing::run_limit limit = *criteria.limit;
+    // The selection itself takes time.
+    limit.left = std::min(limit.left, criteria.deadline - now);
+    return routing::would_outlive(gateway.backends, server, limit, now);
+}
+
 bool is_free_and_fast(const connected_backend& candidate, core::time_point now)
 {
     return candidate.server->reading && !routing::is_full(*candidate.server, now) &&
            candidate.server->reading->slowdown <= max_fast_slowdown;
 }
 
-bool has_free_and_fast(const selection_probes& probes, core::time_point now)
+// Returns whether a candidate is good enough to end the selection.
+bool has_free_and_fast(const gateway& gateway, const selection_probes& probes,
+                       const selection_criteria& criteria, core::time_point now)
 {
     return std::any_of(probes.answered.begin(), probes.answered.end(),
                        [&](const connected_backend& candidate)
-                       { return is_free_and_fast(candidate, now); });
+                       {
+                           return is_free_and_fast(candidate, now) &&
+                                  !is_too_slow(gateway, *candidate.server, criteria, now);
+                       });
 }
 
 bool has_idle(const selection_probes& probes, core::time_point now)
@@ -207,7 +225,7 @@
 
 // Counts a server that responded, unless it is only ranked below another one.
 void count_if_unsuitable(routing::backend_set& set, const routing::backend& server,
-                         bool has_capacity, core::time_point now)
+                         bool has_capacity, bool too_slow, core::time_point now)
 {
     if (const auto reason = routing::ineligibility(set, server, now))
     {
@@ -217,6 +235,10 @@
     {
         routing::count_passed_over(set, routing::pass_over_reason::no_capacity);
     }
+    else if (too_slow)
+    {
+        routing::count_passed_over(set, routing::pass_over_reason::too_slow);
+    }
 }
 
 // Selects the candidate with the lowest expected cost that has capacity and is still eligible.
@@ -236,7 +258,9 @@
     {
         const bool has_capacity = routing::has_capacity(gateway.backends, *candidate.server,
                                                         criteria.queueing, criteria.max_delay, now);
-        if (!out.selected && has_capacity &&
+        const bool too_slow = is_too_slow(gateway, *candidate.server, criteria, now);
+        out.too_slow += too_slow ? 1 : 0;
+        if (!out.selected && has_capacity && !too_slow &&
             routing::is_eligible(gateway.backends, *candidate.server, now) &&
             routing::admit_candidate(gateway.backends, *candidate.server, candidate.selected_cold,
                                      now))
@@ -245,7 +269,7 @@
         }
         else
         {
-            count_if_unsuitable(gateway.backends, *candidate.server, has_capacity, now);
+            count_if_unsuitable(gateway.backends, *candidate.server, has_capacity, too_slow, now);
             gateway.backend_connections.put_back(*candidate.server, candidate.connection);
         }
     }
@@ -304,7 +328,7 @@
         }
         co_await wait_for_probes(
             *probes, std::min(criteria.deadline, core::boot_clock_now() + probe_round_timeout));
-        if (has_free_and_fast(*probes, core::boot_clock_now()))
+        if (has_free_and_fast(gateway, *probes, criteria, core::boot_clock_now()))
         {
             break;
         }
--- a/src/net/backend_selection.hpp
+++ b/src/net/backend_selection.hpp
@@ -29,6 +29,8 @@
     core::time_point deadline;                          ///< Latest end of the selection.
     routing::queueing queueing = routing::queueing::in_time;
     core::duration max_delay{}; ///< Beyond the usual latency; see routing::has_capacity.
+    /// Of a request that may run only once; see routing::would_outlive.
+    std::optional<routing::run_limit> limit;
 };
 
 /// Result of a selection.
@@ -37,6 +39,7 @@
     std::optional<connected_backend> selected;
     std::size_t candidates = 0; ///< Number of servers considered.
     bool all_full = false;      ///< Servers responded, but none has capacity for the request.
+    std::size_t too_slow = 0;   ///< Servers at which the request would outlive its limit.
 };
 
 /// Returns the best candidate that responds and has capacity, or none. `criteria` must stay valid
--- a/src/net/gateway_metrics.cpp
+++ b/src/net/gateway_metrics.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/fmt/fmt.h>
 
+#include <algorithm>
 #include <iterator>
 
 namespace zinniaferry::net
@@ -51,6 +52,14 @@
     }
 }
 
+std::size_t count_rejecting_services(const limits::retry_budget& budget, core::time_point now)
+{
+    return static_cast<std::size_t>(
+        std::count_if(budget.rejections_by_service.begin(), budget.rejections_by_service.end(),
+                      [now](const auto& entry)
+                      { return limits::is_rejecting(limits::rejected_share(entry.second, now)); }));
+}
+
 } // namespace
 
 std::string print_metrics(const gateway& gateway, const daemon_metrics& daemon)
@@ -90,6 +99,9 @@
           number(gateway.log.suppressed_lines()));
     print(out, "gauge", "zinnia_requests_in_progress", "Requests without an answer yet.",
           number(gateway.requests_in_progress));
+    print(out, "gauge", "zinnia_rejecting_services",
+          "Services whose servers reject requests although they have free slots.",
+          number(count_rejecting_services(gateway.retry_budget, core::boot_clock_now())));
     print(out, "gauge", "zinnia_caller_connections", "Open connections of callers.",
           number(daemon.caller_connections));
     print(out, "gauge", "zinnia_configuration_version", "Version in force; 0 for none.",
--- a/src/net/request_attempt.cpp
+++ b/src/net/request_attempt.cpp
@@ -65,6 +65,10 @@
                                 {"end", attempt.finished ? to_string(result.outcome) : "open"},
                                 {"status", result.response ? result.response->result_int() : 0},
                                 {"candidates", attempt.candidates}};
+    if (attempt.expected > core::duration::zero())
+    {
+        line["expected_ms"] = core::to_milliseconds(attempt.expected);
+    }
     if (attempt.reading)
     {
         const routing::load_reading& reading = *attempt.reading;
--- a/src/net/request_attempt.hpp
+++ b/src/net/request_attempt.hpp
@@ -15,8 +15,10 @@
     core::time_point sent_at;
     std::size_t candidates = 0;                   ///< Servers considered in the selection.
     std::optional<routing::load_reading> reading; ///< On which the server was selected.
-    bool finished = false;                        ///< `result` is final.
-    bool settled = false;                         ///< `result` evaluated, or attempt cancelled.
+    routing::load_at_send load;                   ///< Of the server, when the attempt was sent.
+    core::duration expected{}; ///< Time at the server, queue included; zero if not known.
+    bool finished = false;     ///< `result` is final.
+    bool settled = false;      ///< `result` evaluated, or attempt cancelled.
     exchange_result result;
 };
 
--- a/src/net/request_handler.cpp
+++ b/src/net/request_handler.cpp
@@ -30,6 +30,8 @@
 constexpr core::duration no_configuration_retry_after = std::chrono::milliseconds(250);
 /// Delay between two server selections. Each selection probes servers, which costs them time.
 constexpr core::duration selection_interval = std::chrono::milliseconds(30);
+/// Interval at which a request looks for a retry that the budget has earned since.
+constexpr core::duration retry_wait_interval = std::chrono::milliseconds(5);
 
 } // namespace
 
@@ -183,6 +185,11 @@
         }
         const core::time_point now = core::boot_clock_now();
         const bool idle = open_attempt_count() == 0;
+        if (idle && !may_send_now(now) && waits_for_retry(now))
+        {
+            co_await wait_until(std::min(deadline_, now + retry_wait_interval));
+            continue;
+        }
         if (now >= deadline_ || (idle && !may_send_now(now)))
         {
             co_return give_up(now);
@@ -221,11 +228,21 @@
         return admission::place_hedge(statistics_->latency.median);
     }
     const core::time_point now = core::boot_clock_now();
-    return admission::place({.since_arrival = now - arrived_,
-                             .since_first_attempt = now - first_asked_at_,
-                             .objective = route_->objective,
-                             .usual_latency = statistics_->latency.median,
-                             .response_transit = response_transit_time});
+    std::optional<routing::run_limit> limit;
+    if (!route_->idempotent)
+    {
+        limit = {.left = deadline_ - now,
+                 .whole = std::min(route_->timeout, deadline_ - first_asked_at_),
+                 .work = statistics_->latency.work};
+    }
+    return admission::place(
+        {.since_arrival = now - arrived_,
+         .since_first_attempt = now - first_asked_at_,
+         .objective = route_->objective,
+         .usual_latency = statistics_->latency.median,
+         .response_transit = response_transit_time,
+         .limit = limit,
+         .may_fit = !limit || routing::may_fit(gateway_.backends, service_, *limit)});
 }
 
 // How long the servers that the request has not been sent to take nothing; nothing if one may.
@@ -272,10 +289,12 @@
     {
         const bool is_first = attempts_.empty();
         return request::may_send(progress_) &&
-               (is_first || limits::has_retry(gateway_.retry_budget, service_));
+               (is_first ||
+                limits::has_retry(gateway_.retry_budget, service_, required_retries(now)));
     }
     const auto hedge_at = hedge_time();
-    return hedge_at && now >= *hedge_at && limits::has_retry(gateway_.retry_budget, service_);
+    return hedge_at && now >= *hedge_at &&
+           limits::has_retry(gateway_.retry_budget, service_, required_retries(now));
 }
 
 asio::awaitable<bool> request_handler::send_to_next_backend(const admission::placement& placement)
@@ -285,8 +304,10 @@
                                          .excluded = tried_servers_,
                                          .deadline = deadline_,
                                          .queueing = placement.accepted,
-                                         .max_delay = placement.max_delay};
+                                         .max_delay = placement.max_delay,
+                                         .limit = placement.limit};
     const backend_selection selection = co_await select_backend(gateway_, criteria);
+    servers_too_slow_ += selection.too_slow;
     if (!selection.selected)
     {
         servers_full_ = selection.all_full;
@@ -300,9 +321,10 @@
     servers_full_ = routing::is_full(*selected.server, core::boot_clock_now());
     const bool is_first = attempts_.empty();
     // The last send time may have passed while servers were probed.
-    const bool is_too_late = core::boot_clock_now() > last_send_time();
+    const core::time_point now = core::boot_clock_now();
+    const bool is_too_late = now > last_send_time();
     if (caller_gone_ || is_too_late ||
-        (!is_first && !limits::take_retry(gateway_.retry_budget, service_)))
+        (!is_first && !limits::take_retry(gateway_.retry_budget, service_, required_retries(now))))
     {
         gateway_.backend_connections.put_back(*selected.server, selected.connection);
         co_return false;
@@ -330,6 +352,11 @@
     attempt->sent_at = now;
     attempt->candidates = selection.candidates;
     attempt->reading = attempt->target.server->reading;
+    const routing::backend& server = *attempt->target.server;
+    attempt->load = routing::load_when_sent(gateway_.backends, server, now);
+    const routing::time_at_server expected =
+        routing::expected_time(gateway_.backends, server, statistics_->latency.work.usual, now);
+    attempt->expected = expected.queue + expected.work;
     routing::on_sent(*attempt->target.server);
     request::apply(progress_, progress_event::bytes_left);
     tried_servers_.push_back(attempt->target.server);
--- a/src/net/request_handler.hpp
+++ b/src/net/request_handler.hpp
@@ -53,6 +53,20 @@
     std::optional<http_response> settle_attempt(request_attempt& attempt);
     std::optional<http_response> settle_response(request_attempt& attempt, core::duration latency);
     void settle_failure(request_attempt& attempt, core::time_point now);
+    /// Updates what is known of the server, its service and the route.
+    void learn_from_response(const request_attempt& attempt, core::duration latency,
+                             core::time_point now);
+    void learn_from_timeout(const request_attempt& attempt, core::time_point now);
+    /// Returns the usual latency of the route at a server with this load. What the load explains is
+    /// not taken for slowness of the server, which would count it twice.
+    core::duration usual_latency_at(const routing::load_at_send& load, core::time_point now) const;
+    /// What the next attempt would use a retry for.
+    limits::retry_use retry_use() const;
+    double rejected_share(core::time_point now) const;
+    /// Returns the retries that the budget must hold for the next attempt.
+    double required_retries(core::time_point now) const;
+    /// Returns whether a rejected request waits for the retry budget.
+    bool waits_for_retry(core::time_point now) const;
     /// Returns the number of attempts whose result has not been evaluated.
     std::size_t open_attempt_count() const;
     admission::placement current_placement() const;
@@ -91,7 +105,8 @@
     request::progress progress_;
     std::vector<std::shared_ptr<request_attempt>> attempts_;
     std::vector<routing::backend_pointer> tried_servers_;
-    bool servers_full_ = false; ///< The last servers that were tried had no free capacity.
+    bool servers_full_ = false;        ///< The last servers that were tried had no free capacity.
+    std::size_t servers_too_slow_ = 0; ///< In all selections; see backend_selection.
     /// Set if a configuration that came into force before the first send refuses the request.
     std::optional<request::refusal> configuration_refusal_;
     std::optional<request::refusal_reason> last_failure_reason_; ///< Of the last failed attempt.
--- a/src/net/request_log.cpp
+++ b/src/net/request_log.cpp
@@ -35,6 +35,14 @@
     {
         line["rate_decided_by"] = limits::to_string(*outcome.grant_source);
     }
+    if (outcome.servers_too_slow > 0)
+    {
+        line["servers_too_slow"] = outcome.servers_too_slow;
+    }
+    if (outcome.rejected_share > 0.0)
+    {
+        line["rejected_share"] = outcome.rejected_share;
+    }
     line["attempts"] = std::move(outcome.attempts);
     return line;
 }
--- a/src/net/request_log.hpp
+++ b/src/net/request_log.hpp
@@ -27,8 +27,10 @@
     std::string_view service;                         ///< Empty if none was selected.
     /// Of the caller, at the request's arrival; zero if this seems to be the first one.
     core::duration since_first_attempt{};
-    core::duration duration{};   ///< Since the request arrived.
-    boost::json::array attempts; ///< From describe_attempt.
+    core::duration duration{};        ///< Since the request arrived.
+    std::size_t servers_too_slow = 0; ///< At which it would have outlived its time limit.
+    double rejected_share = 0.0;      ///< Of the service; see limits::rejected_share.
+    boost::json::array attempts;      ///< From describe_attempt.
 };
 
 /// Returns the fields of the log line. Thread safe.
--- a/src/net/request_outcome.cpp
+++ b/src/net/request_outcome.cpp
@@ -15,9 +15,6 @@
 
 /// Retry-After when no server can take the request.
 constexpr core::duration busy_retry_after = std::chrono::milliseconds(100);
-/// Retry-After when servers with free slots rejected the request: another attempt may succeed at
-/// once.
-constexpr core::duration rejected_retry_after = std::chrono::milliseconds(20);
 
 } // namespace
 
@@ -53,6 +50,11 @@
         request::apply(progress_, progress_event::server_refused);
         record_reported_load(attempt, gateway_.profile, now);
         servers_full_ = routing::is_full(server, now);
+        if (!servers_full_)
+        {
+            limits::record_arrival(gateway_.retry_budget.rejections_by_service[service_], true,
+                                   now);
+        }
         return std::nullopt;
     case exchange_outcome::wrong_server:
         routing::on_failed(server, routing::failure_kind::wrong_server, now);
@@ -75,8 +77,8 @@
     gateway_.backend_connections.put_back(server, attempt.target.connection);
     if (attempt.result.response->result_int() < 500)
     {
-        routing::on_response(gateway_.backends, server, latency, statistics_->latency.median, now);
-        routing::record_latency(statistics_->latency, latency);
+        limits::record_arrival(gateway_.retry_budget.rejections_by_service[service_], false, now);
+        learn_from_response(attempt, latency, now);
         request::apply(progress_, progress_event::answer);
         return std::move(attempt.result.response);
     }
@@ -87,13 +89,76 @@
     return std::nullopt;
 }
 
+void request_handler::learn_from_response(const request_attempt& attempt, core::duration latency,
+                                          core::time_point now)
+{
+    routing::backend& server = *attempt.target.server;
+    routing::occupancy_effect& effect = gateway_.backends.service_states[service_].occupancy;
+    routing::on_response(gateway_.backends, server, latency, usual_latency_at(attempt.load, now),
+                         now);
+    routing::record_latency(statistics_->latency, latency);
+    routing::record_work(statistics_->latency.work, effect, attempt.load, latency, now);
+}
+
+void request_handler::learn_from_timeout(const request_attempt& attempt, core::time_point now)
+{
+    const core::duration at_least = now - attempt.sent_at;
+    routing::on_unfinished(*attempt.target.server, at_least, usual_latency_at(attempt.load, now),
+                           now);
+    routing::record_unfinished_work(statistics_->latency.work,
+                                    gateway_.backends.service_states[service_].occupancy,
+                                    attempt.load, at_least, now);
+}
+
+core::duration request_handler::usual_latency_at(const routing::load_at_send& load,
+                                                 core::time_point now) const
+{
+    const double factor =
+        routing::load_factor(gateway_.backends.service_states[service_].occupancy, load, now);
+    return core::from_seconds(core::to_seconds(statistics_->latency.work.usual) * factor);
+}
+
 void request_handler::settle_failure(request_attempt& attempt, core::time_point now)
 {
+    if (attempt.result.outcome == exchange_outcome::timed_out)
+    {
+        learn_from_timeout(attempt, now);
+    }
     routing::on_failed(*attempt.target.server, failure_kind_of(attempt.result.outcome), now);
     request::apply(progress_, progress_event::attempt_lost);
     last_failure_reason_ = refusal_reason_of(attempt.result.outcome);
 }
 
+limits::retry_use request_handler::retry_use() const
+{
+    if (open_attempt_count() > 0)
+    {
+        return limits::retry_use::hedge;
+    }
+    return first_asked_at_ < arrived_ ? limits::retry_use::further_visit
+                                      : limits::retry_use::first_visit;
+}
+
+double request_handler::rejected_share(core::time_point now) const
+{
+    const auto& by_service = gateway_.retry_budget.rejections_by_service;
+    const auto found = by_service.find(service_);
+    return found == by_service.end() ? 0.0 : limits::rejected_share(found->second, now);
+}
+
+double request_handler::required_retries(core::time_point now) const
+{
+    return limits::required_retries(rejected_share(now), gateway_.retry_budget.options.ratio,
+                                    retry_use());
+}
+
+bool request_handler::waits_for_retry(core::time_point now) const
+{
+    return progress_.refusals > 0 && request::may_send(progress_) && now < last_send_time() &&
+           now < limits::retry_wait_end(rejected_share(now), retry_use(), arrived_,
+                                        first_asked_at_ + route_->objective);
+}
+
 http_response request_handler::give_up(core::time_point now)
 {
     const bool not_run = request::has_certainly_not_run(progress_);
@@ -116,8 +181,9 @@
                             : servers_full_ ? refusal_reason::overloaded
                             : is_late       ? refusal_reason::expired
                                             : refusal_reason::no_server;
-        const core::duration pause =
-            progress_.refusals > 0 ? rejected_retry_after : busy_retry_after;
+        const core::duration pause = progress_.refusals > 0
+                                         ? limits::retry_after_rejection(rejected_share(now))
+                                         : busy_retry_after;
         return refuse(
             {reason, servers_full_ ? refuse_for_capacity(gateway_, service_, now) : pause});
     }
@@ -172,6 +238,8 @@
                           .service = service_,
                           .since_first_attempt = arrived_ - first_asked_at_,
                           .duration = core::boot_clock_now() - arrived_,
+                          .servers_too_slow = servers_too_slow_,
+                          .rejected_share = rejected_share(core::boot_clock_now()),
                           .attempts = std::move(attempt_log_)}));
 }
 
