--- a/src/net/request_handler.cpp
+++ b/src/net/request_handler.cpp
@@ -356,6 +356,7 @@
     attempt->load = routing::load_when_sent(gateway_.backends, server, now);
     const routing::time_at_server expected =
         routing::expected_time(gateway_.backends, server, statistics_->latency.work.usual, now);
+    attempt->load.queue = expected.queue;
     attempt->expected = expected.queue + expected.work;
     routing::on_sent(*attempt->target.server);
     request::apply(progress_, progress_event::bytes_left);
--- a/src/net/request_handler.hpp
+++ b/src/net/request_handler.hpp
@@ -57,6 +57,8 @@
     void learn_from_response(const request_attempt& attempt, core::duration latency,
                              core::time_point now);
     void learn_from_timeout(const request_attempt& attempt, core::time_point now);
+    /// Learns from the attempts that are given up because the deadline has passed.
+    void learn_from_open_attempts(core::time_point now);
     /// Returns the usual latency of the route at a server with this load. What the load explains is
     /// not taken for slowness of the server, which would count it twice.
     core::duration usual_latency_at(const routing::load_at_send& load, core::time_point now) const;
--- a/src/net/request_outcome.cpp
+++ b/src/net/request_outcome.cpp
@@ -82,6 +82,10 @@
         request::apply(progress_, progress_event::answer);
         return std::move(attempt.result.response);
     }
+    if (attempt.result.response->result() == http::status::gateway_timeout)
+    {
+        learn_from_timeout(attempt, now);
+    }
     routing::on_failed(server, routing::failure_kind::error, now);
     request::apply(progress_, progress_event::attempt_lost);
     error_response_ = std::move(attempt.result.response);
@@ -115,7 +119,8 @@
 {
     const double factor =
         routing::load_factor(gateway_.backends.service_states[service_].occupancy, load, now);
-    return core::from_seconds(core::to_seconds(statistics_->latency.work.usual) * factor);
+    return load.queue +
+           core::from_seconds(core::to_seconds(statistics_->latency.work.usual) * factor);
 }
 
 void request_handler::settle_failure(request_attempt& attempt, core::time_point now)
@@ -159,8 +164,20 @@
                                         first_asked_at_ + route_->objective);
 }
 
+void request_handler::learn_from_open_attempts(core::time_point now)
+{
+    for (const auto& attempt : attempts_)
+    {
+        if (!attempt->settled && now >= deadline_)
+        {
+            learn_from_timeout(*attempt, now);
+        }
+    }
+}
+
 http_response request_handler::give_up(core::time_point now)
 {
+    learn_from_open_attempts(now);
     const bool not_run = request::has_certainly_not_run(progress_);
     request::apply(progress_, progress_event::give_up);
     if (error_response_)
--- a/src/routing/work_time.cpp
+++ b/src/routing/work_time.cpp
@@ -9,8 +9,8 @@
 namespace
 {
 
-/// Lowest occupancy of each band. The last one holds requests that take the last slot.
-constexpr std::array<double, occupancy_bands> band_starts = {0.7, 0.85, 1.0};
+/// Lowest occupancy of each band: few free slots, the last slot, and a queue.
+constexpr std::array<double, occupancy_bands> band_starts = {0.7, 1.0, 1.0001};
 /// A stronger effect is taken for a fault of the server, which its slowness shows.
 constexpr double max_occupancy_factor = 4.0;
 /// Factors lose about two thirds of their excess in this time without a response.
@@ -29,6 +29,9 @@
 /// time is left; the rest covers the selection of the server.
 constexpr double tight_route_fraction = 0.8;
 
+/// Least fraction of a latency that counts as work: the queue may have been shorter than expected.
+constexpr double min_work_fraction = 0.25;
+
 std::size_t band_of(double occupancy)
 {
     std::size_t band = 0;
@@ -87,13 +90,10 @@
 void record_work(work_time& route, occupancy_effect& effect, const load_at_send& load,
                  core::duration latency, core::time_point now)
 {
-    if (load.occupancy > 1.0)
-    {
-        return;
-    }
     const double slowdown = bounded_slowdown(load.slowdown);
-    const double latency_s = core::to_seconds(latency);
     const double usual_s = core::to_seconds(route.usual);
+    const double latency_s = std::max(core::to_seconds(latency - load.queue),
+                                      core::to_seconds(latency) * min_work_fraction);
     if (usual_s <= 0.0)
     {
         route.usual = core::from_seconds(latency_s / slowdown);
@@ -111,7 +111,7 @@
     const double expected =
         core::to_seconds(route.usual) * load_factor(effect, load, now) * route.margin;
     // A request that was ended before most would have responded says nothing.
-    if (expected > 0.0 && core::to_seconds(at_least) > expected)
+    if (expected > 0.0 && core::to_seconds(at_least - load.queue) > expected)
     {
         record_work(route, effect, load, at_least, now);
     }
--- a/src/routing/work_time.hpp
+++ b/src/routing/work_time.hpp
@@ -47,19 +47,19 @@
 {
     double occupancy = 0.0; ///< Fraction of its slots that are taken, this request included.
     double slowdown = 1.0;  ///< As reported.
+    core::duration queue{}; ///< Expected wait in its queue.
 };
 
 /// Not thread safe: calls on one object must not run concurrently.
 
 /// Returns the factor for a server of that occupancy, at least 1 and bounded. Above an occupancy of
-/// 1, a request starts when another ends, that is, at a full server.
+/// 1, the request waits first, and then runs at a server that stays full.
 double occupancy_factor(const occupancy_effect& effect, double occupancy, core::time_point now);
 
 /// Returns the factor on the usual time for a request that is sent at that load.
 double load_factor(const occupancy_effect& effect, const load_at_send& load, core::time_point now);
 
-/// Learns from a response. Responses of requests that waited in the server's queue, which have an
-/// occupancy above 1, are ignored: their latency contains the wait.
+/// Learns from a response; the expected wait in the queue is not taken for work.
 void record_work(work_time& route, occupancy_effect& effect, const load_at_send& load,
                  core::duration latency, core::time_point now);
 
--- a/test/correctness/routing/work_time_test.cpp
+++ b/test/correctness/routing/work_time_test.cpp
@@ -53,6 +53,24 @@
     EXPECT_LT(occupancy_factor(out.effect, 1.0, start + 120s), 1.02) << "it decays";
 }
 
+// Guards against a queue whose servers are slower than the wait in it explains, and against a wait
+// that is taken for work.
+TEST(work_time, work_after_a_queue_is_learned_without_the_wait)
+{
+    learned out = learn(1.0, 400);
+    const load_at_send queued = {.occupancy = 1.5, .queue = 100ms};
+    for (int i = 0; i < 200; ++i)
+    {
+        record_work(out.route, out.effect, idle, 100ms, start + 4s);
+        record_work(out.route, out.effect, queued, 400ms, start + 4s);
+    }
+    const double factor = occupancy_factor(out.effect, 1.5, start + 4s);
+    EXPECT_GT(factor, 2.4);
+    EXPECT_LT(factor, 3.6);
+    EXPECT_LT(occupancy_factor(out.effect, 1.0, start + 4s), 1.3)
+        << "the last slot is another case";
+}
+
 // Guards against a wrong report or one broken response that keeps a server from getting anything.
 TEST(work_time, factors_are_bounded)
 {
@@ -131,7 +149,7 @@
     EXPECT_TRUE(would_outlive(set, server("a"), limit, start));
     report("b", {.running = 7, .slots = 8, .received_at = start});
     EXPECT_FALSE(would_outlive(set, server("b"), limit, start));
-    set.service_states["orders"].occupancy.bands.back() = {.factor = 2.2, .updated_at = start};
+    set.service_states["orders"].occupancy.bands.at(1) = {.factor = 2.2, .updated_at = start};
     EXPECT_TRUE(would_outlive(set, server("b"), limit, start));
 }
 
