Servers: subsets in a large fleet, idle connections first, two probes in calm times

It came back to a server after the keep-alive of its connection.

Change: routing/subset marks, from the members and the daemon's own rate, the servers that it sends to first: an arc of each data centre's ring, in proportion to slots. Servers outside cost 1.5 times as much. Among servers of close cost, those with an idle connection and those not probed yet go first. While at most a quarter of the slots were taken in recent readings, the first round probes two servers. Idle connections are probed up to 0.85 of the keep-alive timeout, 0.7 before. A fleet of up to 20 daemons keeps all servers in its subsets.

--- a/deploy/sources.cmake
+++ b/deploy/sources.cmake
@@ -5,4 +5,4 @@
     fleet/hub_choice fleet/hub_messages fleet/registry fleet/replica fleet/report_echoes limits/account_pools limits/probe_budget limits/retry_budget limits/token_bucket net/backend_connection_pool net/caller_session net/daemon net/daemon_program net/deadline_timer net/endpoint
     net/event_log net/gateway net/gateway_metrics net/grant_requests net/http_client net/hub_links net/message_rules net/notice_headers net/peer_link net/process_lifecycle
     net/request_attempt net/request_durations net/request_handler net/request_log net/request_outcome net/shared_update net/status_listener net/backend_selection request/hedging request/progress request/refusal
-    routing/backends routing/candidates routing/load_reading routing/server_notices)
+    routing/backends routing/candidates routing/load_reading routing/server_notices routing/subset)
--- a/src/limits/probe_budget.cpp
+++ b/src/limits/probe_budget.cpp
@@ -24,6 +24,9 @@
 constexpr core::duration full_plan_time = std::chrono::seconds(1);
 /// Below the probes of this time, a selection sends a single probe.
 constexpr core::duration two_round_time = std::chrono::milliseconds(250);
+/// Servers of the first round in calm times: the second one matters when the first works slowly for
+/// a moment.
+constexpr std::size_t calm_round_size = 2;
 /// The probes of this time are kept for trials of suspect servers.
 constexpr core::duration trial_reserve_time = std::chrono::milliseconds(50);
 
@@ -84,6 +87,11 @@
     return affordable == plans.end() ? probe_plan() : affordable->plan;
 }
 
+std::size_t first_round_size(const probe_plan& plan, bool is_calm)
+{
+    return is_calm ? std::min(plan.per_round, calm_round_size) : plan.per_round;
+}
+
 bool may_send_trial(probe_budget& budget, core::time_point now)
 {
     refill(budget, now);
--- a/src/net/backend_connection_pool.cpp
+++ b/src/net/backend_connection_pool.cpp
@@ -19,12 +19,20 @@
 /// Used for a server that does not state its keep-alive timeout.
 constexpr core::duration default_keep_alive_timeout = std::chrono::seconds(4);
 /// Fraction of the keep-alive timeout up to which an idle connection is used. Later the server may
-/// be closing it.
-constexpr double usable_keep_alive_fraction = 0.7;
+/// be closing it. Only probes use connections that old, and they may be sent again.
+constexpr double usable_keep_alive_fraction = 0.85;
 /// Interim responses, and late responses to earlier requests, that may precede the expected
 /// response.
 constexpr int max_stray_responses = 2;
 
+// Returns the end of the time in which the idle connection is used.
+core::time_point usable_until(const backend_connection& connection)
+{
+    const double seconds =
+        core::to_seconds(connection.keep_alive_timeout) * usable_keep_alive_fraction;
+    return connection.last_response_at + core::from_seconds(seconds);
+}
+
 // A server may close an idle connection at any time. A FIN or unexpected bytes in the receive
 // buffer show that the connection must not be used for a request.
 bool looks_usable(asio::ip::tcp::socket& socket)
@@ -90,7 +98,7 @@
 {
 }
 
-backend_connection_pointer backend_connection_pool::take_idle(const routing::backend& server,
+backend_connection_pointer backend_connection_pool::take_idle(routing::backend& server,
                                                               core::time_point answered_since)
 {
     const auto found = idle_.find(server.listed.id);
@@ -98,16 +106,24 @@
     {
         return nullptr;
     }
-    const core::time_point now = core::boot_clock_now();
     auto& connections = found->second;
+    backend_connection_pointer out = pop_usable(connections, server, answered_since);
+    server.connected_until =
+        connections.empty() ? core::time_point() : usable_until(*connections.back());
+    counters.reused += out ? 1 : 0;
+    return out;
+}
+
+backend_connection_pointer
+backend_connection_pool::pop_usable(std::vector<backend_connection_pointer>& connections,
+                                    const routing::backend& server, core::time_point answered_since)
+{
+    const core::time_point now = core::boot_clock_now();
     while (!connections.empty())
     {
         backend_connection_pointer connection = connections.back();
-        const core::duration idle = now - connection->last_response_at;
         const bool answered_recently = connection->last_response_at >= answered_since;
-        const bool expired =
-            core::to_seconds(idle) >
-            core::to_seconds(connection->keep_alive_timeout) * usable_keep_alive_fraction;
+        const bool expired = now > usable_until(*connection);
         if (!expired && !answered_recently)
         {
             return nullptr;
@@ -312,7 +328,7 @@
     co_return out;
 }
 
-void backend_connection_pool::put_back(const routing::backend& server,
+void backend_connection_pool::put_back(routing::backend& server,
                                        backend_connection_pointer connection)
 {
     const bool listed = server.state != routing::backend_state::gone;
@@ -323,6 +339,7 @@
     auto& connections = idle_[server.listed.id];
     if (connections.size() < options.max_idle_per_server)
     {
+        server.connected_until = usable_until(*connection);
         connections.push_back(std::move(connection));
     }
 }
--- a/src/net/backend_connection_pool.hpp
+++ b/src/net/backend_connection_pool.hpp
@@ -102,6 +102,7 @@
 struct backend_connection_pool_counters
 {
     std::uint64_t connections = 0; ///< Opened since the start.
+    std::uint64_t reused = 0;      ///< Idle connections that were used again.
     /// Sent since the start, by probe_purpose.
     std::array<std::uint64_t, probe_purpose_count> probes{};
 };
@@ -114,9 +115,9 @@
     backend_connection_pool(asio::io_context& io, const http_profile& profile);
 
     /// Returns an idle connection to this lifetime of the server that the server has not closed and
-    /// on which it has responded since `answered_since`, or null.
-    backend_connection_pointer take_idle(const routing::backend& server,
-                                         core::time_point answered_since);
+    /// on which it has responded since `answered_since`, or null. Updates the server's
+    /// `connected_until`, as put_back does.
+    backend_connection_pointer take_idle(routing::backend& server, core::time_point answered_since);
 
     /// Opens a connection. Returns null if that fails or exceeds `connect_timeout`.
     asio::awaitable<backend_connection_pointer> connect(const routing::backend& server);
@@ -133,7 +134,7 @@
 
     /// Keeps the connection as idle if it is open and reusable, its server still listed and the
     /// number of the server's idle connections below the limit; drops it otherwise.
-    void put_back(const routing::backend& server, backend_connection_pointer connection);
+    void put_back(routing::backend& server, backend_connection_pointer connection);
 
     /// Closes the idle connections of servers that are not in the set, and those whose keep-alive
     /// timeout has passed.
@@ -154,6 +155,11 @@
     void report_notice(const backend_connection& connection,
                        const http::response_header<>& response,
                        routing::notice_source source) const;
+    /// Returns the newest of the idle connections as take_idle does, and removes it with those that
+    /// cannot be used.
+    static backend_connection_pointer
+    pop_usable(std::vector<backend_connection_pointer>& connections, const routing::backend& server,
+               core::time_point answered_since);
     /// Classifies a complete response.
     exchange_outcome classify(const http_request& request, const http_response& response) const;
 
--- a/src/net/backend_selection.cpp
+++ b/src/net/backend_selection.cpp
@@ -127,6 +127,10 @@
     const routing::load_reading reading = result.load.value_or(routing::load_reading{
         .slots = server->listed.slots, .received_at = core::boot_clock_now()});
     routing::on_load_reading(*server, reading, result.warmup_left);
+    if (result.load)
+    {
+        routing::record(gateway.backends.service_states[server->listed.service].load, reading);
+    }
     co_return connection->reusable ? connection : nullptr;
 }
 
@@ -292,11 +296,14 @@
     const auto probes = std::make_shared<selection_probes>(gateway.io);
     std::vector<routing::backend_pointer> excluded(criteria.excluded.begin(),
                                                    criteria.excluded.end());
+    const std::size_t first_size = limits::first_round_size(
+        plan, routing::is_calm(gateway.backends.service_states[criteria.service].load,
+                               core::boot_clock_now()));
     std::size_t probed_count = 0;
     for (std::size_t round = 0; round < plan.rounds; ++round)
     {
-        const std::size_t started =
-            start_probes(gateway, probes, criteria, excluded, plan.per_round);
+        const std::size_t started = start_probes(gateway, probes, criteria, excluded,
+                                                 round == 0 ? first_size : plan.per_round);
         probed_count += started;
         if (started == 0)
         {
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -8,6 +8,7 @@
 #include "net/hub_links.hpp"
 #include "net/process_lifecycle.hpp"
 #include "net/status_listener.hpp"
+#include "routing/subset.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -196,6 +197,10 @@
             view.own_selection_rate, view.fleet_selection_rate, view.members_known);
         gateway_.backends.members = view.members;
         gateway_.backends.are_members_known = view.is_size_known;
+        routing::update_subset(gateway_.backends, routing::subset_fraction(
+                                                      {.members = view.members.size(),
+                                                       .own_rate = view.own_selection_rate,
+                                                       .servers = gateway_.backends.by_id.size()}));
     }
 
     // Applies changed entries to the gateway, and forwards them to the subscribers.
--- a/src/net/gateway_metrics.cpp
+++ b/src/net/gateway_metrics.cpp
@@ -1,5 +1,7 @@
 #include "net/gateway_metrics.hpp"
 
+#include "routing/subset.hpp"
+
 #include <spdlog/fmt/fmt.h>
 
 #include <iterator>
@@ -70,6 +72,14 @@
           number(counters.repeats));
     print(out, "counter", "zinnia_backend_connections_total", "Connections to backend servers.",
           number(gateway.backend_connections.counters.connections));
+    print(out, "counter", "zinnia_backend_connections_reused_total",
+          "Idle connections to backend servers that were used again.",
+          number(gateway.backend_connections.counters.reused));
+    print(out, "gauge", "zinnia_subset_servers", "Backend servers that requests go to first.",
+          number(routing::subset_size(gateway.backends)));
+    print(out, "counter", "zinnia_candidates_outside_subset_total",
+          "Candidates of selections that are not in the subset.",
+          number(gateway.backends.candidates_outside_subset));
     print(out, "counter", "zinnia_selections_total", "Selections of a backend server.",
           number(counters.selections));
     print(out, "counter", "zinnia_unprobed_selections_total",
--- a/src/routing/backends.hpp
+++ b/src/routing/backends.hpp
@@ -65,7 +65,9 @@
     core::time_point skip_until;
     std::uint32_t unanswered_load_probes = 0; ///< In a row.
     std::uint32_t in_flight = 0;              ///< Requests that this daemon has open at the server.
-    std::optional<load_reading> reading;      ///< Latest reported load.
+    core::time_point connected_until; ///< Until then an idle connection to the server is kept.
+    bool in_subset = true; ///< This daemon sends to it before servers outside its subset.
+    std::optional<load_reading> reading; ///< Latest reported load.
     /// Moving average of failures of this daemon's own requests, in [0, 1], at the last update.
     double error_rate = 0.0;
     core::time_point error_rate_updated_at;
@@ -84,6 +86,7 @@
     core::duration latency{}; ///< Moving average; zero before the first response.
     double warmup_rate = 1.0; ///< Requests/s that a cold server tolerates from all daemons.
     core::duration warmup{};  ///< How long a server is cold after its start.
+    load_average load;        ///< Of the servers that this daemon has probed.
 };
 
 /// Usual latency of a route's requests.
@@ -134,6 +137,7 @@
     server_notices notices;        ///< What servers said of themselves; listed or not.
     /// Servers left out in selections, by pass_over_reason.
     std::array<std::uint64_t, pass_over_reason_count> passed_over{};
+    std::uint64_t candidates_outside_subset = 0; ///< Returned by selections.
 };
 
 /// Why a request or probe failed; the names are those in the log.
--- a/src/routing/candidates.cpp
+++ b/src/routing/candidates.cpp
@@ -19,6 +19,17 @@
 constexpr double max_suspect_fraction = 0.5;
 /// Cost factor of a server in another data centre: traffic between data centres is charged for.
 constexpr double remote_cost_factor = 1.1;
+/// Cost factor of a server outside the daemon's subset: it is used once those inside are full, fail
+/// or are clearly slower.
+constexpr double outside_subset_cost_factor = 1.5;
+/// Range of the random cost factor that breaks ties.
+constexpr double max_jitter = 0.05;
+/// Cost factor of a server whose connections have all been closed. It only decides between servers
+/// of close cost, as it is no larger than the jitter.
+constexpr double unconnected_cost_factor = 1.0 + max_jitter;
+/// Fraction of selections that connect to servers without a connection as readily as to others, so
+/// that the requests of a daemon don't stay with a few servers.
+constexpr double exploring_fraction = 0.1;
 /// A server that has not answered a load probe within this time is taken to be full.
 constexpr core::duration max_load_probe_delay = std::chrono::milliseconds(40);
 /// When callers of a service whose servers all leave are to retry: a new server is usually listed
@@ -103,6 +114,23 @@
     return server.reading && now - server.reading->received_at < max_reading_age;
 }
 
+// A server that this daemon has not probed yet counts as connected, so that one that has joined
+// soon gets requests.
+bool is_connected_or_new(const backend& server, core::time_point now)
+{
+    return !server.reading || now < server.connected_until;
+}
+
+// Returns the cost of the server, raised where a request would need a further connection.
+double selection_cost(const backend_set& set, const backend& server, bool is_exploring,
+                      core::time_point now)
+{
+    const double subset_factor = server.in_subset ? 1.0 : outside_subset_cost_factor;
+    const bool is_preferred = is_exploring || is_connected_or_new(server, now);
+    const double connection_factor = is_preferred ? 1.0 : unconnected_cost_factor;
+    return expected_cost(set, server, now) * subset_factor * connection_factor;
+}
+
 struct ranked_server
 {
     double cost = 0.0;
@@ -256,6 +284,7 @@
     std::vector<ranked_server> serving;
     std::vector<ranked_server> suspect;
     std::vector<ranked_server> cold;
+    const bool is_exploring = core::uniform(random) < exploring_fraction;
     std::size_t unavailable = 0; // Not suspect, but not to be used now.
     const auto found = set.by_service.find(service);
     if (found == set.by_service.end())
@@ -283,7 +312,8 @@
             continue;
         }
         // Random jitter breaks ties, so that daemons with equal views spread their requests.
-        const double cost = expected_cost(set, *server, now) * (1.0 + 0.05 * core::uniform(random));
+        const double jitter = 1.0 + max_jitter * core::uniform(random);
+        const double cost = selection_cost(set, *server, is_exploring, now) * jitter;
         auto& list = server->state == backend_state::serving   ? serving
                      : server->state == backend_state::suspect ? suspect
                                                                : cold;
@@ -326,6 +356,8 @@
     {
         set.passed_over.at(static_cast<std::size_t>(pass_over_reason::suspect)) += suspect.size();
     }
+    set.candidates_outside_subset += static_cast<std::uint64_t>(std::count_if(
+        out.begin(), out.end(), [](const backend_pointer& server) { return !server->in_subset; }));
     return out;
 }
 
--- a/src/routing/load_reading.cpp
+++ b/src/routing/load_reading.cpp
@@ -7,6 +7,38 @@
 namespace zinniaferry::routing
 {
 
+namespace
+{
+
+/// Weight of one reading in the average, which a burst then raises within a few selections.
+constexpr double reading_weight = 0.1;
+/// An average without a reading for longer says nothing about the load now.
+constexpr core::duration max_average_age = std::chrono::seconds(2);
+/// Up to this fraction of taken slots, two servers without a free slot are rare even if each has
+/// only one or two slots.
+constexpr double max_calm_fraction = 0.25;
+
+bool is_current(const load_average& average, core::time_point now)
+{
+    return now - average.updated_at <= max_average_age;
+}
+
+} // namespace
+
+void record(load_average& average, const load_reading& reading)
+{
+    const double slots = std::max(1U, reading.slots);
+    const double busy = (static_cast<double>(reading.running) + reading.waiting) / slots;
+    const double before = is_current(average, reading.received_at) ? average.busy_fraction : 1.0;
+    average.busy_fraction = before + reading_weight * (busy - before);
+    average.updated_at = reading.received_at;
+}
+
+bool is_calm(const load_average& average, core::time_point now)
+{
+    return is_current(average, now) && average.busy_fraction <= max_calm_fraction;
+}
+
 std::optional<load_reading> parse_named_load(std::string_view text, core::time_point now)
 {
     std::optional<std::uint32_t> running;
--- a/test/correctness/limits/probe_budget_test.cpp
+++ b/test/correctness/limits/probe_budget_test.cpp
@@ -109,5 +109,14 @@
     }
 }
 
+// Guards against two candidates in a busy service, and against a calm one that is probed beyond the
+// plan.
+TEST(probe_budget, only_calm_services_get_a_narrow_first_round)
+{
+    EXPECT_EQ(first_round_size({.per_round = 4, .rounds = 2}, false), 4U);
+    EXPECT_EQ(first_round_size({.per_round = 4, .rounds = 2}, true), 2U);
+    EXPECT_EQ(first_round_size({.per_round = 1, .rounds = 2}, true), 1U);
+}
+
 } // namespace
 } // namespace zinniaferry::limits
--- a/test/correctness/net/backend_selection_test.cpp
+++ b/test/correctness/net/backend_selection_test.cpp
@@ -63,6 +63,31 @@
         return out;
     }
 
+    // Selects a server and keeps the connection, as a request does. Does not wait for the timers of
+    // idle connections. Returns whether a server was selected.
+    bool use_server()
+    {
+        const selection_criteria criteria = {.service = "s",
+                                             .deadline = core::boot_clock_now() + 1s};
+        std::optional<backend_selection> selection;
+        asio::co_spawn(
+            io,
+            [&]() -> asio::awaitable<void>
+            { selection = co_await select_backend(test_gateway, criteria); },
+            asio::detached);
+        while (!selection)
+        {
+            io.run_one();
+        }
+        if (!selection->selected)
+        {
+            return false;
+        }
+        const connected_backend& selected = *selection->selected;
+        test_gateway.backend_connections.put_back(*selected.server, selected.connection);
+        return true;
+    }
+
     asio::io_context io;
     gateway test_gateway{
         io, test_profile(), {.vm = "vm-1", .data_centre = "near", .log = {.enabled = false}}};
@@ -103,6 +128,30 @@
     EXPECT_EQ(select_server(), "none");
 }
 
+// Guards against probes and connections of which a calm service has no use: each selection probed
+// four servers.
+TEST_F(backend_selection_test, calm_services_get_two_probes_a_selection_on_idle_connections)
+{
+    constexpr std::uint64_t requests = 40;
+    constexpr std::uint64_t server_count = 6;
+    std::vector<std::unique_ptr<test_support::raw_server>> calm_servers;
+    for (std::uint64_t i = 0; i < server_count; ++i)
+    {
+        calm_servers.push_back(std::make_unique<test_support::raw_server>(""));
+        add_server_at(std::to_string(i), calm_servers.back()->address());
+    }
+    for (std::uint64_t i = 0; i < requests; ++i)
+    {
+        test_gateway.backends.service_states["s"].load = {.busy_fraction = 0.0,
+                                                          .updated_at = core::boot_clock_now()};
+        EXPECT_TRUE(use_server());
+    }
+    const auto& counters = test_gateway.backend_connections.counters;
+    EXPECT_LE(counters.probes.at(static_cast<std::size_t>(probe_purpose::selection)), 2 * requests);
+    EXPECT_LE(counters.connections, 2 * server_count);
+    EXPECT_GT(counters.reused, 0U);
+}
+
 // Guards against probes that follow the requests without a bound: in a burst, each server got more
 // probes than the operators allow.
 TEST_F(backend_selection_test, a_burst_of_requests_sends_no_more_probes_than_the_budget)
