Probes: a service is calm while few servers are busy; connections in the counters line

Cause: the average of taken slots counted a service as busy whose servers have six slots, a third of them taken, although hardly any server was full.

Change: the average counts servers with three quarters of their slots taken; up to a tenth is calm. The log line "daemon counters" has the connections opened and reused.

--- a/src/limits/probe_budget.hpp
+++ b/src/limits/probe_budget.hpp
@@ -43,8 +43,8 @@
 /// at once, then one at a time, then only one, then none.
 probe_plan plan_probes(probe_budget& budget, core::time_point now);
 
-/// Returns how many servers the first round of the plan probes. While most slots of a service are
-/// free, two are enough; a further round follows if neither is good.
+/// Returns how many servers the first round of the plan probes. While few servers of a service are
+/// busy, two are enough; a further round follows if neither is good.
 std::size_t first_round_size(const probe_plan& plan, bool is_calm);
 
 /// Returns whether a trial probe of a suspect server may be sent.
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -295,6 +295,8 @@
              {"repeats", requests.repeats},
              {"selections", requests.selections},
              {"selection_probes", probes.at(static_cast<std::size_t>(probe_purpose::selection))},
+             {"backend_connections", gateway_.backend_connections.counters.connections},
+             {"reused_connections", gateway_.backend_connections.counters.reused},
              {"unprobed_selections", requests.unprobed_selections},
              {"trial_probes", probes.at(static_cast<std::size_t>(probe_purpose::trial))},
              {"grant_timeouts", links_.counters().grant_timeouts}});
--- a/src/routing/load_reading.cpp
+++ b/src/routing/load_reading.cpp
@@ -10,13 +10,15 @@
 namespace
 {
 
-/// Weight of one reading in the average, which a burst then raises within a few selections.
-constexpr double reading_weight = 0.1;
+/// Weight of one reading in the average. A few busy readings end a calm time, and tens of others
+/// begin one.
+constexpr double reading_weight = 0.05;
 /// An average without a reading for longer says nothing about the load now.
 constexpr core::duration max_average_age = std::chrono::seconds(2);
-/// Up to this fraction of taken slots, two servers without a free slot are rare even if each has
-/// only one or two slots.
-constexpr double max_calm_fraction = 0.25;
+/// A server is busy from this fraction of taken slots on.
+constexpr double min_busy_load = 0.75;
+/// Up to this fraction of busy servers, two busy candidates are as rare as one in a hundred.
+constexpr double max_calm_fraction = 0.1;
 
 bool is_current(const load_average& average, core::time_point now)
 {
@@ -28,7 +30,8 @@
 void record(load_average& average, const load_reading& reading)
 {
     const double slots = std::max(1U, reading.slots);
-    const double busy = (static_cast<double>(reading.running) + reading.waiting) / slots;
+    const double load = (static_cast<double>(reading.running) + reading.waiting) / slots;
+    const double busy = load >= min_busy_load ? 1.0 : 0.0;
     const double before = is_current(average, reading.received_at) ? average.busy_fraction : 1.0;
     average.busy_fraction = before + reading_weight * (busy - before);
     average.updated_at = reading.received_at;
--- a/src/routing/load_reading.hpp
+++ b/src/routing/load_reading.hpp
@@ -23,15 +23,15 @@
 /// Moving average of the load of a service's servers.
 struct load_average
 {
-    double busy_fraction = 1.0; ///< Taken fraction of the slots, waiting requests included.
+    double busy_fraction = 1.0; ///< Of the servers read; busy ones have few or no free slots.
     core::time_point updated_at;
 };
 
 /// Adds the reading of one server. Not thread safe.
 void record(load_average& average, const load_reading& reading);
 
-/// Returns whether any two servers very likely include one with a free slot: most slots have been
-/// free in readings of the last seconds. Thread safe.
+/// Returns whether any two servers very likely include one with a free slot: few servers have been
+/// busy in readings of the last seconds. Thread safe.
 bool is_calm(const load_average& average, core::time_point now);
 
 /// Parses a load header that was received at `now`; nothing for malformed text. Thread safe.
