--- a/src/net/gateway_metrics.cpp
+++ b/src/net/gateway_metrics.cpp
@@ -1,5 +1,7 @@
 #include "net/gateway_metrics.hpp"
 
+#include "net/load_output.hpp"
+
 #include <spdlog/fmt/fmt.h>
 
 #include <iterator>
@@ -130,6 +132,7 @@
           number(counters.not_admitted));
     print_refusals(out, counters);
     print_admission(out, gateway);
+    append_load_metrics(out, gateway, daemon.now);
     gateway.durations.append_metrics(out);
     return out;
 }
--- a/src/net/request_handler.cpp
+++ b/src/net/request_handler.cpp
@@ -249,9 +249,12 @@
                                                        .objective = route_->objective,
                                                        .usual_latency = statistics_->latency.median,
                                                        .response_transit = response_transit_time});
-    admission_ = decide_admission(gateway_, service_, priority_, admission_fraction_, now);
-    if (admission_ != admission::admission_decision::unrestricted &&
-        placement.accepted == routing::queueing::in_time)
+    using admission::admission_decision;
+    const bool is_restricted = decide_admission(gateway_, service_, priority_, admission_fraction_,
+                                                now) != admission_decision::unrestricted;
+    // An admitted request stays so when its priority's share falls afterwards.
+    admission_ = is_restricted ? admission_decision::free_slots : admission_decision::unrestricted;
+    if (is_restricted && placement.accepted == routing::queueing::in_time)
     {
         placement.accepted = routing::queueing::none;
     }
