Admission: requests that wait for a server do so in one queue

Change: admission/waiting_queue orders the waiting requests of a service at a daemon by priority and then by the time left, most first. Only the first one probes servers; it is woken when one of the daemon's attempts ends or the one before it leaves. The queue is bounded.

burst_replay waits in the queue: 0.904, 0.959 and 0.962, target 0.9 unchanged. Its server that has just responded is among the candidates of the woken request, as select_candidates ranks by the fresh reading.

Tests: 63 of admission, gateway, request handling, selection and hub links pass; the whole suite was run on.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -158,6 +158,9 @@
                   [&](const auto& entry) { return !routes.contains(entry.first); });
     std::erase_if(gateway.overloads,
                   [&](const auto& entry) { return !index.services.contains(entry.first); });
+    std::erase_if(
+        gateway.waiters, [&](const auto& entry)
+        { return entry.second.queue.waiters.empty() && !index.services.contains(entry.first); });
     std::erase_if(gateway.priority_admissions, [&](const auto& entry)
                   { return !gateway.prioritised_services.contains(entry.first); });
     std::erase_if(gateway.load_meters,
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -7,6 +7,7 @@
 #include "admission/service_load.hpp"
 #include "admission/stated_deadlines.hpp"
 #include "admission/stop_schedule.hpp"
+#include "admission/waiting_queue.hpp"
 #include "config/index.hpp"
 #include "limits/account_pools.hpp"
 #include "limits/probe_budget.hpp"
@@ -59,6 +60,14 @@
     admission::stated_deadlines deadlines;
 };
 
+/// Requests that wait for a server of one service.
+struct service_waiters
+{
+    admission::waiting_queue queue;
+    std::unordered_map<std::uint64_t, std::function<void()>> wake_by_id; ///< Of those in the queue.
+    std::uint64_t last_id = 0;
+};
+
 /// Thread safety: the io_context's thread only; this holds for all functions of this header.
 struct gateway
 {
@@ -100,6 +109,7 @@
     /// Services whose requests may be of different priority; from the configuration in force.
     std::unordered_set<std::string> prioritised_services;
     std::unordered_map<std::string, admission::priority_admission> priority_admissions; ///< Theirs.
+    std::unordered_map<std::string, service_waiters> waiters; ///< By service.
     /// Requests that wait for a server now, by admission::priority_level.
     std::array<std::size_t, admission::priority_levels> waiting_by_priority{};
     /// This daemon's load of each service. References are not kept across a suspension, as the
--- a/src/net/request_handler.cpp
+++ b/src/net/request_handler.cpp
@@ -4,6 +4,7 @@
 #include "net/await_error.hpp"
 #include "net/request_log.hpp"
 #include "net/service_admission.hpp"
+#include "net/service_waiters.hpp"
 #include "request/hedging.hpp"
 #include "routing/candidates.hpp"
 
@@ -11,6 +12,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace zinniaferry::net
 {
@@ -54,7 +56,7 @@
     else
     {
         response = co_await forward();
-        set_waiting(false);
+        stop_waiting();
         cancel_attempts();
     }
     --gateway_.requests_in_progress;
@@ -205,10 +207,17 @@
         }
         const core::time_point now = core::boot_clock_now();
         const bool idle = open_attempt_count() == 0;
-        if (now >= deadline_ || (idle && !may_send_now(now)))
+        if (now >= deadline_ || (idle && !may_send_now(now)) || has_lost_its_place())
         {
             co_return give_up(now);
         }
+        if (waits_behind_others(now))
+        {
+            // Not until it is woken, because the daemon may begin to stop.
+            const core::time_point next_check = std::min(latest_start_, now + selection_interval);
+            co_await wait_until(std::min(deadline_, next_check));
+            continue;
+        }
         if (may_send_now(now))
         {
             const admission::placement placement = current_placement();
@@ -228,7 +237,10 @@
             {
                 co_return give_up(selected_at);
             }
-            set_waiting(servers_full_ && open_attempt_count() == 0);
+            if (servers_full_ && open_attempt_count() == 0)
+            {
+                start_waiting(placement, selected_at);
+            }
             co_await wait_until(std::min(deadline_, core::boot_clock_now() + selection_interval));
             continue;
         }
@@ -261,25 +273,48 @@
     return placement;
 }
 
-void request_handler::set_waiting(bool waiting)
+void request_handler::start_waiting(const admission::placement& placement, core::time_point now)
 {
-    if (waiting == is_waiting_)
+    if (waiter_id_)
     {
         return;
     }
-    is_waiting_ = waiting;
-    admission::load_meter& meter = gateway_.load_meters[service_];
-    std::size_t& count = gateway_.waiting_by_priority.at(admission::priority_level(priority_));
-    if (waiting)
-    {
-        admission::on_wait_began(meter);
-        ++count;
-    }
-    else
+    // A request that is late in any case looks for a server by its own clock.
+    const bool is_late = placement.max_delay == core::duration::max();
+    latest_start_ = is_late ? now : now + placement.max_delay;
+    const std::size_t level = admission::priority_level(priority_);
+    waiter_id_ =
+        enter_waiters(gateway_, service_, {.priority = level, .latest_start = latest_start_},
+                      [waiting = weak_from_this()]
+                      {
+                          if (const auto handler = waiting.lock())
+                          {
+                              handler->notify();
+                          }
+                      });
+    admission::on_wait_began(gateway_.load_meters[service_]);
+    ++gateway_.waiting_by_priority.at(level);
+}
+
+void request_handler::stop_waiting()
+{
+    if (!waiter_id_)
     {
-        admission::on_wait_ended(meter);
-        --count;
+        return;
     }
+    leave_waiters(gateway_, service_, *std::exchange(waiter_id_, std::nullopt));
+    admission::on_wait_ended(gateway_.load_meters[service_]);
+    --gateway_.waiting_by_priority.at(admission::priority_level(priority_));
+}
+
+bool request_handler::waits_behind_others(core::time_point now) const
+{
+    return waiter_id_ && now < latest_start_ && !is_first_waiter(gateway_, service_, *waiter_id_);
+}
+
+bool request_handler::has_lost_its_place() const
+{
+    return waiter_id_ && !is_waiter(gateway_, service_, *waiter_id_);
 }
 
 // How long the servers that the request has not been sent to take nothing; nothing if one may.
@@ -385,7 +420,7 @@
     attempt->candidates = selection.candidates;
     attempt->reading = attempt->target.server->reading;
     routing::on_sent(*attempt->target.server);
-    set_waiting(false);
+    stop_waiting();
     admission::on_attempt_began(gateway_.load_meters[service_]);
     request::apply(progress_, progress_event::bytes_left);
     tried_servers_.push_back(attempt->target.server);
@@ -408,6 +443,7 @@
     admission::on_attempt_ended(handler->gateway_.load_meters[handler->service_],
                                 attempt->result.outcome == exchange_outcome::answered,
                                 core::boot_clock_now());
+    wake_first_waiter(handler->gateway_, handler->service_);
     if (attempt->settled)
     {
         // The attempt was cancelled.
--- a/src/net/request_handler.hpp
+++ b/src/net/request_handler.hpp
@@ -58,8 +58,12 @@
     /// Returns the number of attempts whose result has not been evaluated.
     std::size_t open_attempt_count() const;
     admission::placement current_placement();
-    /// Records whether the request waits for a server of its service.
-    void set_waiting(bool waiting);
+    /// Lets the request wait for a server of its service. Has no effect if it waits already.
+    void start_waiting(const admission::placement& placement, core::time_point now);
+    void stop_waiting();
+    /// Returns whether another waiting request looks for a server in place of this one.
+    bool waits_behind_others(core::time_point now) const;
+    bool has_lost_its_place() const;
     std::optional<core::duration> service_pause(core::time_point now) const;
     std::optional<core::time_point> hedge_time() const;
     bool may_send_now(core::time_point now) const;
@@ -90,7 +94,8 @@
     double admission_fraction_ = 0.0; ///< For admission::decide.
     /// The last decision; nothing before the request's service is selected.
     std::optional<admission::admission_decision> admission_;
-    bool is_waiting_ = false; ///< See set_waiting.
+    std::optional<std::uint64_t> waiter_id_; ///< While the request waits for a server.
+    core::time_point latest_start_;          ///< Of the request while it waits.
     core::time_point arrived_;
     core::time_point first_asked_at_; ///< When the caller made its first attempt, if that is known.
     core::time_point deadline_;       ///< The response must have left the daemon by then.
--- a/test/correctness/admission/burst_replay_test.cpp
+++ b/test/correctness/admission/burst_replay_test.cpp
@@ -3,6 +3,7 @@
 #include "admission/overload.hpp"
 #include "admission/placement.hpp"
 #include "admission/stated_deadlines.hpp"
+#include "admission/waiting_queue.hpp"
 #include "model/event_queue.hpp"
 
 #include <gtest/gtest.h>
@@ -13,6 +14,8 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <unordered_map>
+#include <utility>
 
 namespace zinniaferry::admission
 {
@@ -50,6 +53,8 @@
     core::time_point first_asked_at;
     core::time_point arrived_at;
     int retries_left = caller_retries;
+    std::uint64_t id = 0; ///< In the waiting queue; 0 before it waits.
+    core::time_point tried_at{};
 };
 
 /// A service, its callers and the daemons before it, which are always of one opinion.
@@ -65,7 +70,11 @@
     stated_deadlines deadlines;
     admission::overload overload;
     core::duration usual_latency{};
-    int in_time = 0; ///< Of all requests.
+    waiting_queue waiting;
+    std::unordered_map<std::uint64_t, replayed_request> waiting_requests;
+    std::uint64_t last_id = 0;
+    std::optional<std::size_t> freed; ///< Server that has just responded.
+    int in_time = 0;                  ///< Of all requests.
     int requests = 0;
 };
 
@@ -74,6 +83,8 @@
     return *replay.beliefs.by_id.at(std::to_string(server));
 }
 
+void wake_first(replay& replay);
+
 void finish(replay& replay, std::size_t server)
 {
     replayed_server& at = replay.servers.at(server);
@@ -105,6 +116,9 @@
                         routing::record_latency(usual, now - sent_at);
                         replay.usual_latency = usual.median;
                         finish(replay, server);
+                        replay.freed = server;
+                        wake_first(replay);
+                        replay.freed.reset();
                     });
 }
 
@@ -148,7 +162,8 @@
     const core::time_point now = replay.queue.now;
     for (int i = 0; i < 4; ++i)
     {
-        const std::size_t server = core::uniform_index(replay.random, server_count);
+        const std::size_t random = core::uniform_index(replay.random, server_count);
+        const std::size_t server = i == 0 ? replay.freed.value_or(random) : random;
         const replayed_server& at = replay.servers.at(server);
         routing::on_load_reading(belief_of(replay, server),
                                  {.running = at.running,
@@ -185,17 +200,90 @@
     }
 }
 
-void try_servers(replay& replay, const replayed_request& request)
+void try_servers(replay& replay, replayed_request request);
+
+// Removes the request from the queue. The next one looks for a server if it was the first.
+void stop_waiting(replay& replay, std::uint64_t id)
+{
+    replay.waiting_requests.erase(id);
+    if (leave(replay.waiting, id))
+    {
+        model::schedule(replay.queue, replay.queue.now, [&replay] { wake_first(replay); });
+    }
+}
+
+void wake(replay& replay, std::uint64_t id)
+{
+    if (replay.waiting_requests.contains(id))
+    {
+        try_servers(replay, replay.waiting_requests.at(id));
+    }
+}
+
+void wake_first(replay& replay)
+{
+    if (const auto id = first(replay.waiting))
+    {
+        wake(replay, *id);
+    }
+}
+
+// Does nothing if the request was woken meanwhile.
+void look_again(replay& replay, std::uint64_t id)
+{
+    const auto found = replay.waiting_requests.find(id);
+    if (found != replay.waiting_requests.end() &&
+        replay.queue.now >= found->second.tried_at + poll_interval)
+    {
+        wake(replay, id);
+    }
+}
+
+// The first one looks again soon; another waits until it is woken, at the latest until its start
+// would be late.
+void wait(replay& replay, replayed_request& request, const placement& wanted)
+{
+    const core::time_point now = replay.queue.now;
+    const core::time_point latest_start = now + std::min(wanted.max_delay, objective);
+    if (request.id == 0)
+    {
+        request.id = ++replay.last_id;
+        enter(replay.waiting, {.id = request.id, .latest_start = latest_start});
+        model::schedule(replay.queue, latest_start + 1ms,
+                        [&replay, id = request.id] { wake(replay, id); });
+    }
+    request.tried_at = now;
+    replay.waiting_requests[request.id] = request;
+    if (first(replay.waiting) == request.id)
+    {
+        model::schedule(replay.queue, now + poll_interval,
+                        [&replay, id = request.id] { look_again(replay, id); });
+    }
+}
+
+void poll(replay& replay, const replayed_request& request)
+{
+    model::schedule(replay.queue, replay.queue.now + poll_interval,
+                    [&replay, request] { try_servers(replay, request); });
+}
+
+void try_servers(replay& replay, replayed_request request)
 {
     const placement wanted = decide(replay, request);
-    if (const auto server = select(replay, wanted))
+    const auto server = select(replay, wanted);
+    if (!server && wanted.waits)
     {
-        send(replay, *server, request);
+        replay.decisions == variant::in_time_first ? wait(replay, request, wanted)
+                                                   : poll(replay, request);
+        return;
+    }
+    if (request.id != 0)
+    {
+        stop_waiting(replay, std::exchange(request.id, 0));
     }
-    else if (wanted.waits)
+    if (server)
     {
-        model::schedule(replay.queue, replay.queue.now + poll_interval,
-                        [&replay, request] { try_servers(replay, request); });
+        send(replay, *server, request);
     }
     else
     {
