--- a/deploy/sources.cmake
+++ b/deploy/sources.cmake
@@ -3,6 +3,7 @@
 set(DEPLOYED
     admission/overload admission/placement admission/prioritised_services admission/priority_admission
     admission/service_load admission/startup_wait admission/stated_deadlines admission/stop_schedule
+    admission/waiting_queue
     chart/chart
     config/address config/index config/model config/text_file
     core/command_line core/compression core/digest core/error core/hash
@@ -14,6 +15,6 @@
     net/deadline_timer net/endpoint net/event_log net/gateway net/gateway_metrics net/grant_requests net/http_client
     net/hub_links net/hub_subscribers net/load_output net/message_rules net/notice_headers net/peer_link
     net/process_lifecycle net/request_attempt net/request_durations net/request_handler net/request_log
-    net/request_outcome net/service_admission net/shared_update net/status_listener
+    net/request_outcome net/service_admission net/service_waiters net/shared_update net/status_listener
     request/hedging request/progress request/refusal
     routing/backends routing/candidates routing/load_reading routing/server_notices)
