--- a/src/admission/priority_admission.cpp
+++ b/src/admission/priority_admission.cpp
@@ -32,16 +32,6 @@
 constexpr core::duration first_return = std::chrono::milliseconds(100);
 constexpr core::duration last_return = std::chrono::milliseconds(1500);
 
-double total_arrivals(const service_load& load)
-{
-    double total = 0.0;
-    for (const priority_load& level : load.by_priority)
-    {
-        total += level.arrivals;
-    }
-    return total;
-}
-
 double total_rejections(const service_load& load)
 {
     double total = 0.0;
--- a/src/admission/service_load.cpp
+++ b/src/admission/service_load.cpp
@@ -60,6 +60,16 @@
     return std::min<std::size_t>(priority, priority_levels - 1);
 }
 
+double total_arrivals(const service_load& load)
+{
+    double total = 0.0;
+    for (const priority_load& level : load.by_priority)
+    {
+        total += level.arrivals;
+    }
+    return total;
+}
+
 void add(service_load& sum, const service_load& part)
 {
     sum.running += part.running;
--- a/src/fleet/service_loads.cpp
+++ b/src/fleet/service_loads.cpp
@@ -14,19 +14,10 @@
 /// A service with fewer requests was not used for about five seconds.
 constexpr double min_arrivals_per_s = 0.01;
 
-double total_arrivals(const admission::service_load& load)
-{
-    double total = 0.0;
-    for (const admission::priority_load& level : load.by_priority)
-    {
-        total += level.arrivals;
-    }
-    return total;
-}
-
 bool is_in_use(const admission::service_load& load)
 {
-    return load.running > 0.0 || load.waiting > 0.0 || total_arrivals(load) >= min_arrivals_per_s;
+    return load.running > 0.0 || load.waiting > 0.0 ||
+           admission::total_arrivals(load) >= min_arrivals_per_s;
 }
 
 // Services whose requests wait come first: only their loads decide anything.
@@ -34,7 +25,8 @@
 {
     const auto rank = [](const stated_load& entry)
     {
-        return std::tuple(entry.load.waiting, entry.load.running, total_arrivals(entry.load));
+        return std::tuple(entry.load.waiting, entry.load.running,
+                          admission::total_arrivals(entry.load));
     };
     return std::tuple(rank(b), a.service) < std::tuple(rank(a), b.service);
 }
