--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -75,7 +75,8 @@
                     .data_centre = options.data_centre,
                     .region = options.region,
                     .log = options.log,
-                    .random_seed = random_number()}),
+                    .random_seed = random_number(),
+                    .memory_bytes = options.memory_bytes}),
           sessions_{.gateway = gateway_},
           links_(io_, {options.vm, options.peer_address, options.link_mbps}, random_number(),
                  replica_, gateway_.log, link_callbacks())
@@ -85,6 +86,8 @@
         {
             return links_.request_grant(std::move(account));
         };
+        sessions_.connections->budget.max_open =
+            limits::max_caller_connections(options.max_sockets);
         apply_settings();
     }
 
@@ -163,7 +166,7 @@
     {
         return {.on_changes = [this](const std::vector<fleet::entry_change>& changes)
                 { apply_changes(changes); },
-                .on_fleet_view = [this](const fleet_view& view) { apply_fleet_view(view); },
+                .on_fleet_view = [this](const fleet::fleet_view& view) { apply_fleet_view(view); },
                 .on_primary_time = [this](core::duration time)
                 { limits::advance_pool_clock(gateway_.accounts, time); },
                 .take_from_pool = [this](const std::string& account)
@@ -175,14 +178,17 @@
                     limits::add_granted(gateway_.accounts, late.account, late.granted.requests,
                                         late.asked_at, core::boot_clock_now());
                 },
-                .selection_count =
-                    [this]
+                .selection_count = [this] { return gateway_.counters.selections; },
+                .loads_to_state = [this]
+                { return fleet::loads_to_state(gateway_.load_meters, core::boot_clock_now()); },
+                .on_fleet_load =
+                    [this](admission::fleet_load load)
                 {
-                    return gateway_.counters.selections;
+                    gateway_.fleet_load = std::move(load);
                 }};
     }
 
-    void apply_fleet_view(const fleet_view& view)
+    void apply_fleet_view(const fleet::fleet_view& view)
     {
         const core::time_point now = core::boot_clock_now();
         limits::set_fleet_size(gateway_.accounts,
@@ -292,7 +298,9 @@
              {"selection_probes", probes.at(static_cast<std::size_t>(probe_purpose::selection))},
              {"unprobed_selections", requests.unprobed_selections},
              {"trial_probes", probes.at(static_cast<std::size_t>(probe_purpose::trial))},
-             {"grant_timeouts", links_.counters().grant_timeouts}});
+             {"grant_timeouts", links_.counters().grant_timeouts},
+             {"peer_bytes_in", links_.counters().bytes_in},
+             {"peer_bytes_out", links_.counters().bytes_out}});
     }
 
     asio::awaitable<void> reload_settings_regularly()
@@ -427,7 +435,8 @@
                                         .peer_bytes_in = links_.counters().bytes_in,
                                         .peer_bytes_out = links_.counters().bytes_out,
                                         .peer_snapshots_out = links_.counters().snapshots_out,
-                                        .grant_timeouts = links_.counters().grant_timeouts});
+                                        .grant_timeouts = links_.counters().grant_timeouts,
+                                        .now = core::boot_clock_now()});
     }
 
     boost::json::object dump() const
@@ -466,6 +475,10 @@
 
 core::result<void> run_daemon(const daemon_options& options, const platform_adapter& adapter)
 {
+    if (options.memory_bytes > 0)
+    {
+        return_large_blocks_to_system();
+    }
     const auto process = std::make_unique<daemon>(options, adapter);
     return process->run();
 }
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -1,6 +1,8 @@
 #include "net/gateway.hpp"
 
+#include "admission/prioritised_services.hpp"
 #include "net/await_error.hpp"
+#include "net/load_output.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -156,6 +158,15 @@
                   [&](const auto& entry) { return !routes.contains(entry.first); });
     std::erase_if(gateway.overloads,
                   [&](const auto& entry) { return !index.services.contains(entry.first); });
+    std::erase_if(gateway.priority_admissions, [&](const auto& entry)
+                  { return !gateway.prioritised_services.contains(entry.first); });
+    std::erase_if(gateway.load_meters,
+                  [&](const auto& entry)
+                  {
+                      const admission::service_load& load = entry.second.averages;
+                      const bool is_idle = load.running == 0.0 && load.waiting == 0.0;
+                      return is_idle && !index.services.contains(entry.first);
+                  });
 }
 
 } // namespace
@@ -163,11 +174,13 @@
 gateway::gateway(asio::io_context& io_context, http_profile header_profile,
                  gateway_options initial_options)
     : io(io_context), profile(std::move(header_profile)), options(std::move(initial_options)),
+      bodies(std::make_shared<body_room>(io_context, options.memory_bytes)),
       backend_connections(io, profile), log(options.log), random(options.random_seed)
 {
     accounts.random.seed(random());
     backends.options.own_name = options.vm;
     backends.options.data_centre = options.data_centre;
+    backend_connections.bodies = bodies;
     backend_connections.on_notice = [this](const routing::server_lifetime& server,
                                            const parsed_notice& parsed,
                                            routing::notice_source source)
@@ -197,6 +210,7 @@
         state.warmup = service.warmup;
     }
     apply_topology(gateway, *config, now);
+    gateway.prioritised_services = admission::prioritised_services(*config);
     gateway.configuration = std::make_shared<const config::configuration_index>(
         config::make_configuration_index(std::move(config)));
     erase_dropped(gateway);
@@ -297,6 +311,7 @@
     out["members"] = gateway.backends.members.size();
     out["limits"] = limits::dump(gateway.accounts);
     out["servers"] = routing::dump(gateway.backends, now);
+    out["loads"] = dump_loads(gateway, now);
     return out;
 }
 
@@ -333,14 +348,6 @@
                             .source = granted->source};
 }
 
-core::duration refuse_for_capacity(gateway& gateway, const std::string& service,
-                                   core::time_point now)
-{
-    admission::overload& overload = gateway.overloads[service];
-    admission::on_refused(overload, now);
-    return admission::retry_after(overload, now, gateway.random);
-}
-
 void record_server_notice(gateway& gateway, const routing::server_lifetime& server,
                           const parsed_notice& parsed, routing::notice_source source)
 {
--- a/src/net/gateway_metrics.cpp
+++ b/src/net/gateway_metrics.cpp
@@ -1,5 +1,7 @@
 #include "net/gateway_metrics.hpp"
 
+#include "net/load_output.hpp"
+
 #include <spdlog/fmt/fmt.h>
 
 #include <iterator>
@@ -51,6 +53,36 @@
     }
 }
 
+void print_admission(std::string& out, const gateway& gateway)
+{
+    out += "# HELP zinnia_rejected_for_capacity_total Requests for which a service had no capacity."
+           "\n# TYPE zinnia_rejected_for_capacity_total counter\n";
+    for (std::size_t level = 0; level < admission::priority_levels; ++level)
+    {
+        fmt::format_to(std::back_inserter(out),
+                       "zinnia_rejected_for_capacity_total{{priority=\"{}\"}} {}\n", level,
+                       gateway.counters.rejected_by_priority.at(level));
+    }
+    out += "# HELP zinnia_waiting_requests Requests that wait for a server.\n"
+           "# TYPE zinnia_waiting_requests gauge\n";
+    for (std::size_t level = 0; level < admission::priority_levels; ++level)
+    {
+        fmt::format_to(std::back_inserter(out), "zinnia_waiting_requests{{priority=\"{}\"}} {}\n",
+                       level, gateway.waiting_by_priority.at(level));
+    }
+    out += "# HELP zinnia_admitted_share Share of the arrivals that a short service admits.\n"
+           "# TYPE zinnia_admitted_share gauge\n";
+    for (const auto& [service, state] : gateway.priority_admissions)
+    {
+        for (std::size_t level = 0; state.is_short && level < admission::priority_levels; ++level)
+        {
+            fmt::format_to(std::back_inserter(out),
+                           "zinnia_admitted_share{{service=\"{}\",priority=\"{}\"}} {}\n", service,
+                           level, state.admitted.at(level));
+        }
+    }
+}
+
 } // namespace
 
 std::string print_metrics(const gateway& gateway, const daemon_metrics& daemon)
@@ -90,13 +122,27 @@
           number(gateway.log.suppressed_lines()));
     print(out, "gauge", "zinnia_requests_in_progress", "Requests without an answer yet.",
           number(gateway.requests_in_progress));
+    print(out, "counter", "zinnia_caller_connections_closed_total",
+          "Callers' connections closed for lack of descriptors.",
+          number(counters.connections_closed));
+    print(out, "counter", "zinnia_slow_bodies_closed_total",
+          "Callers closed because others waited for the memory of their slow body.",
+          number(gateway.bodies->closed));
+    print(out, "counter", "zinnia_bodies_without_memory_total",
+          "Bodies that got no memory in time.", number(gateway.bodies->refused));
+    print(out, "gauge", "zinnia_body_bytes", "Memory reserved for bodies.",
+          number(gateway.bodies->budget.held));
     print(out, "gauge", "zinnia_caller_connections", "Open connections of callers.",
           number(daemon.caller_connections));
     print(out, "gauge", "zinnia_configuration_version", "Version in force; 0 for none.",
           gateway.configuration ? number(gateway.configuration->config->version) : 0.0);
     print(out, "gauge", "zinnia_replica_revision", "Revision of the store that is known.",
           number(daemon.replica_revision));
+    print(out, "counter", "zinnia_not_admitted_total", "Requests rejected at their arrival.",
+          number(counters.not_admitted));
     print_refusals(out, counters);
+    append_load_metrics(out, gateway, daemon.now);
+    print_admission(out, gateway);
     gateway.durations.append_metrics(out);
     return out;
 }
--- a/src/net/request_handler.hpp
+++ b/src/net/request_handler.hpp
@@ -21,8 +21,8 @@
 class request_handler : public std::enable_shared_from_this<request_handler>
 {
 public:
-    /// Preconditions: `gateway` and `message` outlive run(); `arrived` is not in the future.
-    request_handler(gateway& gateway, const http_request& message, core::time_point arrived);
+    /// Preconditions: `gateway` outlives run(); `arrived` is not in the future.
+    request_handler(gateway& gateway, http_request message, core::time_point arrived);
     request_handler(const request_handler&) = delete;
     request_handler& operator=(const request_handler&) = delete;
 
@@ -30,6 +30,9 @@
     /// called at most once.
     asio::awaitable<std::optional<http_response>> run();
 
+    /// Returns the room of the response that run() has returned.
+    held_body take_response_room() { return std::move(response_room_); }
+
     /// Cancels the request and its attempts because the caller has disconnected.
     void cancel();
 
@@ -39,6 +42,8 @@
     asio::awaitable<std::optional<request::refusal>> admit();
     asio::awaitable<void> wait_for_configuration();
     std::optional<request::refusal> resolve_route_and_account();
+    /// Returns the refusal if the selected service has no capacity left for the request's priority.
+    std::optional<request::refusal> admit_to_service();
     /// Sends the request to backend servers until one responds or no further attempt is allowed.
     asio::awaitable<http_response> forward();
     /// Returns whether an attempt was started.
@@ -46,7 +51,7 @@
     void start_attempt(backend_selection selection);
     static asio::awaitable<void> run_attempt(std::shared_ptr<request_handler> handler,
                                              std::shared_ptr<request_attempt> attempt,
-                                             http_request message);
+                                             forwarded_request message);
     /// The settle functions evaluate the result of an attempt. They return the response if it is
     /// the one for the caller.
     std::optional<http_response> settle_finished_attempts();
@@ -55,7 +60,9 @@
     void settle_failure(request_attempt& attempt, core::time_point now);
     /// Returns the number of attempts whose result has not been evaluated.
     std::size_t open_attempt_count() const;
-    admission::placement current_placement() const;
+    admission::placement current_placement();
+    /// Records whether the request waits for a server of its service.
+    void set_waiting(bool waiting);
     std::optional<core::duration> service_pause(core::time_point now) const;
     std::optional<core::time_point> hedge_time() const;
     bool may_send_now(core::time_point now) const;
@@ -72,7 +79,7 @@
     void log_outcome(std::string_view outcome, unsigned status);
 
     gateway& gateway_;
-    const http_request& message_;
+    const http_request message_;
     request_description description_;
     std::shared_ptr<const config::configuration_index> configuration_; ///< Owns `route_`.
     const config::route* route_ = nullptr;
@@ -82,6 +89,12 @@
     /// What decided on the account's rate; nothing if no limit applies or none was looked up.
     std::optional<limits::grant_source> grant_source_;
     std::string service_;
+    std::uint32_t priority_ = 0;      ///< Of the account if it has one, else of the route.
+    double admission_fraction_ = 0.0; ///< For admission::decide.
+    /// The last decision; nothing before the request's service is selected.
+    std::optional<admission::admission_decision> admission_;
+    bool is_waiting_ = false;       ///< See set_waiting.
+    std::size_t waiting_level_ = 0; ///< Priority level at which the request was counted as waiting.
     core::time_point arrived_;
     core::time_point first_asked_at_; ///< When the caller made its first attempt, if that is known.
     core::time_point deadline_;       ///< The response must have left the daemon by then.
@@ -97,6 +110,7 @@
     std::optional<request::refusal_reason> last_failure_reason_; ///< Of the last failed attempt.
     /// Error response of a server, returned unless a later attempt succeeds.
     std::optional<http_response> error_response_;
+    held_body response_room_;        ///< Of the last response that was kept.
     boost::json::array attempt_log_; ///< Log fields of the attempts.
 };
 
