--- a/src/net/gateway_metrics.cpp
+++ b/src/net/gateway_metrics.cpp
@@ -141,8 +141,8 @@
     print(out, "counter", "zinnia_not_admitted_total", "Requests rejected at their arrival.",
           number(counters.not_admitted));
     print_refusals(out, counters);
-    append_load_metrics(out, gateway, daemon.now);
     print_admission(out, gateway);
+    append_load_metrics(out, gateway, daemon.now);
     gateway.durations.append_metrics(out);
     return out;
 }
--- a/src/net/request_handler.cpp
+++ b/src/net/request_handler.cpp
@@ -4,6 +4,7 @@
 #include "net/await_error.hpp"
 #include "net/request_log.hpp"
 #include "net/service_admission.hpp"
+#include "net/service_waiters.hpp"
 #include "request/hedging.hpp"
 #include "routing/candidates.hpp"
 
@@ -11,6 +12,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace zinniaferry::net
 {
@@ -53,7 +55,7 @@
     else
     {
         response = co_await forward();
-        set_waiting(false);
+        stop_waiting();
         cancel_attempts();
     }
     --gateway_.requests_in_progress;
@@ -204,10 +206,17 @@
         }
         const core::time_point now = core::boot_clock_now();
         const bool idle = open_attempt_count() == 0;
-        if (now >= deadline_ || (idle && !may_send_now(now)))
+        if (now >= deadline_ || (idle && !may_send_now(now)) || has_lost_its_place())
         {
             co_return give_up(now);
         }
+        if (waits_behind_others(now))
+        {
+            // Not until it is woken, because the daemon may begin to stop.
+            const core::time_point next_check = std::min(latest_start_, now + selection_interval);
+            co_await wait_until(std::min(deadline_, next_check));
+            continue;
+        }
         if (may_send_now(now))
         {
             const admission::placement placement = current_placement();
@@ -227,7 +236,10 @@
             {
                 co_return give_up(selected_at);
             }
-            set_waiting(servers_full_ && open_attempt_count() == 0);
+            if (servers_full_ && open_attempt_count() == 0)
+            {
+                start_waiting(placement, selected_at);
+            }
             co_await wait_until(std::min(deadline_, core::boot_clock_now() + selection_interval));
             continue;
         }
@@ -248,35 +260,61 @@
                                                        .objective = route_->objective,
                                                        .usual_latency = statistics_->latency.median,
                                                        .response_transit = response_transit_time});
-    admission_ = decide_admission(gateway_, service_, priority_, admission_fraction_, now);
-    if (admission_ != admission::admission_decision::unrestricted &&
-        placement.accepted == routing::queueing::in_time)
+    using admission::admission_decision;
+    const bool is_restricted = decide_admission(gateway_, service_, priority_, admission_fraction_,
+                                                now) != admission_decision::unrestricted;
+    // An admitted request stays so when its priority's share falls afterwards.
+    admission_ = is_restricted ? admission_decision::free_slots : admission_decision::unrestricted;
+    if (is_restricted && placement.accepted == routing::queueing::in_time)
     {
         placement.accepted = routing::queueing::none;
     }
     return placement;
 }
 
-void request_handler::set_waiting(bool waiting)
+void request_handler::start_waiting(const admission::placement& placement, core::time_point now)
 {
-    if (waiting == is_waiting_)
+    if (waiter_id_)
     {
         return;
     }
-    is_waiting_ = waiting;
-    admission::load_meter& meter = gateway_.load_meters[service_];
-    if (waiting)
-    {
-        // A configuration that comes into force while the request waits may change its priority.
-        waiting_level_ = admission::priority_level(priority_);
-        admission::on_wait_began(meter);
-        ++gateway_.waiting_by_priority.at(waiting_level_);
-    }
-    else
+    // A request that is late in any case looks for a server by its own clock.
+    const bool is_late = placement.max_delay == core::duration::max();
+    latest_start_ = is_late ? now : now + placement.max_delay;
+    // A configuration that comes into force while the request waits may change its priority.
+    waiting_level_ = admission::priority_level(priority_);
+    waiter_id_ = enter_waiters(gateway_, service_,
+                               {.priority = waiting_level_, .latest_start = latest_start_},
+                               [waiting = weak_from_this()]
+                               {
+                                   if (const auto handler = waiting.lock())
+                                   {
+                                       handler->notify();
+                                   }
+                               });
+    admission::on_wait_began(gateway_.load_meters[service_]);
+    ++gateway_.waiting_by_priority.at(waiting_level_);
+}
+
+void request_handler::stop_waiting()
+{
+    if (!waiter_id_)
     {
-        admission::on_wait_ended(meter);
-        --gateway_.waiting_by_priority.at(waiting_level_);
+        return;
     }
+    leave_waiters(gateway_, service_, *std::exchange(waiter_id_, std::nullopt));
+    admission::on_wait_ended(gateway_.load_meters[service_]);
+    --gateway_.waiting_by_priority.at(waiting_level_);
+}
+
+bool request_handler::waits_behind_others(core::time_point now) const
+{
+    return waiter_id_ && now < latest_start_ && !is_first_waiter(gateway_, service_, *waiter_id_);
+}
+
+bool request_handler::has_lost_its_place() const
+{
+    return waiter_id_ && !is_waiter(gateway_, service_, *waiter_id_);
 }
 
 // How long the servers that the request has not been sent to take nothing; nothing if one may.
@@ -382,7 +420,7 @@
     attempt->candidates = selection.candidates;
     attempt->reading = attempt->target.server->reading;
     routing::on_sent(*attempt->target.server);
-    set_waiting(false);
+    stop_waiting();
     admission::on_attempt_began(gateway_.load_meters[service_]);
     request::apply(progress_, progress_event::bytes_left);
     tried_servers_.push_back(attempt->target.server);
@@ -407,6 +445,7 @@
     admission::on_attempt_ended(handler->gateway_.load_meters[handler->service_],
                                 attempt->result.outcome == exchange_outcome::answered,
                                 core::boot_clock_now());
+    wake_first_waiter(handler->gateway_, handler->service_);
     if (attempt->settled)
     {
         // The attempt was cancelled.
