--- a/review/stand_ins_2/crowd.cpp
+++ b/review/stand_ins_2/crowd.cpp
@@ -1,6 +1,7 @@
-/// Case: a crowd of clients sends large bodies of legal size that stop just short of their end, each
-/// behind a header of legal size with many short fields. The stand-in of the platform ends a daemon
-/// that exceeds the memory of its machine, as the platform does. Checks that no daemon is ended.
+/// Cases: a crowd of clients sends bodies of legal size that stop just short of their end. With
+/// CROWD=bodies a further client sends one body of the largest legal size whole; with CROWD=headers the
+/// crowd's headers, of legal size too, have many short fields. The stand-in of the platform ends a
+/// daemon that exceeds the memory of its machine, as the platform does. Checks that none is ended.
 #include "case_main.hpp"
 
 #include <csignal>
@@ -12,15 +13,42 @@
 
 constexpr const char* host = "patterns.example";
 constexpr const char* key = "key-a";
-/// As on the machines of kmh-ferry.
-constexpr int memory_mb = 260;
+/// As on all machines of kmh-ferry, and on most of kmh-ferry-grown.
 constexpr int max_fds = 4100;
-constexpr std::size_t crowd_size = 1900;
-/// Below `header-bytes`, 16,384.
-constexpr std::size_t header_bytes = 16'000;
-/// Below `body-bytes`, 64 MiB.
-constexpr std::size_t body_bytes = 48'000;
 constexpr std::size_t bytes_kept_back = 10;
+/// `body-bytes`.
+constexpr std::size_t largest_body_bytes = 67'108'864;
+
+struct crowd_options
+{
+    int memory_mb;
+    std::size_t clients;
+    std::size_t header_bytes; ///< `header-bytes` is 16,384.
+    std::size_t field_bytes;  ///< Of each of the further fields.
+    std::size_t body_bytes;
+    bool with_large_body;
+};
+
+/// Machines of 260 MB, as those of kmh-ferry.
+constexpr crowd_options headers_crowd = {.memory_mb = 260,
+                                         .clients = 1900,
+                                         .header_bytes = 16'000,
+                                         .field_bytes = 8,
+                                         .body_bytes = 48'000,
+                                         .with_large_body = false};
+/// Machines of 160 MB, as most of kmh-ferry-grown.
+constexpr crowd_options bodies_crowd = {.memory_mb = 160,
+                                        .clients = 1940,
+                                        .header_bytes = 4000,
+                                        .field_bytes = 100,
+                                        .body_bytes = 43'000,
+                                        .with_large_body = true};
+
+const crowd_options& chosen()
+{
+    const char* name = std::getenv("CROWD");
+    return name != nullptr && std::string(name) == "headers" ? headers_crowd : bodies_crowd;
+}
 
 std::vector<std::unique_ptr<instance>> instances;
 
@@ -48,14 +76,14 @@
     return pid;
 }
 
-// Resident memory in MB; 0 if the process has ended.
-double resident_mb(pid_t pid)
+// Largest resident memory so far in MB; 0 if the process has ended.
+double peak_resident_mb(pid_t pid)
 {
     std::ifstream status("/proc/" + std::to_string(pid) + "/status");
     std::string line;
     while (std::getline(status, line))
     {
-        if (line.starts_with("VmRSS:"))
+        if (line.starts_with("VmHWM:"))
         {
             return std::stod(line.substr(6)) / 1024.0;
         }
@@ -76,12 +104,12 @@
     const pid_t pid = pid_of(context, context.places.front());
     while (!watch.ended)
     {
-        const double now_mb = resident_mb(pid);
+        const double now_mb = peak_resident_mb(pid);
         watch.peak_mb = std::max(watch.peak_mb, now_mb);
-        if (now_mb > memory_mb)
+        if (now_mb > chosen().memory_mb)
         {
             context.record.write("the daemon takes " + std::to_string(now_mb) + " MB of " +
-                                 std::to_string(memory_mb) + ": the platform kills it");
+                                 std::to_string(chosen().memory_mb) + ": the platform kills it");
             ::kill(pid, SIGKILL);
             watch.ended = true;
         }
@@ -94,10 +122,13 @@
     std::string out = "POST /read/sheet HTTP/1.1\r\nHost: " + std::string(host) +
                       "\r\nX-Zinniaferry-Request-Id: crowd-" + std::to_string(number) +
                       "\r\nX-Zinniaferry-Timeout-Remaining: 3000\r\nAuthorization: Bearer " + key +
-                      "\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n";
-    for (int field = 0; out.size() < header_bytes - 16; ++field)
+                      "\r\nContent-Length: " + std::to_string(chosen().body_bytes) + "\r\n";
+    const std::size_t field_bytes = chosen().field_bytes;
+    for (int field = 0; out.size() + field_bytes + 8 < chosen().header_bytes; ++field)
     {
-        out += "f" + std::to_string(field) + ":1\r\n";
+        const std::string name = "f" + std::to_string(field) + ":";
+        out += name + std::string(field_bytes - std::min(field_bytes, name.size() + 2) + 1, '1') +
+               "\r\n";
     }
     return out + "\r\n";
 }
@@ -109,7 +140,7 @@
     beast::error_code error;
     co_await socket->async_connect(to_endpoint(context.places.front().front_address()),
                                    asio::redirect_error(asio::use_awaitable, error));
-    const std::string sent = crowd_header(number) + std::string(body_bytes - bytes_kept_back, 'x');
+    const std::string sent = crowd_header(number) + std::string(chosen().body_bytes - bytes_kept_back, 'x');
     if (!error)
     {
         co_await asio::async_write(*socket, asio::buffer(sent),
@@ -123,6 +154,22 @@
                                    : "a closed connection"));
 }
 
+// Sends a body of the largest legal size whole.
+asio::awaitable<void> send_large_body(case_context& context)
+{
+    client_request sent;
+    sent.to = context.places.front().front_address();
+    sent.id = "large-1";
+    sent.method = "POST";
+    sent.host = host;
+    sent.target = "/read/sheet";
+    sent.key = key;
+    sent.body.assign(largest_body_bytes, 'x');
+    sent.time_left_ms = 3000;
+    const client_answer answer = co_await send(std::move(sent));
+    context.record.write("the large body got status " + std::to_string(answer.status));
+}
+
 // An ordinary caller that sends a request every 100 ms.
 asio::awaitable<void> send_steadily(case_context& context, std::map<unsigned, int>& answers)
 {
@@ -149,7 +196,7 @@
     beast::error_code error;
     co_await socket.async_connect(to_endpoint(context.places.front().front_address()),
                                   asio::redirect_error(asio::use_awaitable, error));
-    const std::string sent = crowd_header(999'999) + std::string(body_bytes, 'x');
+    const std::string sent = crowd_header(999'999) + std::string(chosen().body_bytes, 'x');
     co_await asio::async_write(socket, asio::buffer(sent),
                                asio::redirect_error(asio::use_awaitable, error));
     std::array<char, 1024> answer{};
@@ -172,7 +219,7 @@
     {
         co_return verdict::could_not_run;
     }
-    for (std::size_t i = 0; context.trouble && i < crowd_size; ++i)
+    for (std::size_t i = 0; context.trouble && i < chosen().clients; ++i)
     {
         asio::co_spawn(context.io, stall(context, i, std::make_shared<tcp::socket>(context.io)),
                        asio::detached);
@@ -181,9 +228,14 @@
             co_await sleep_for(milliseconds(5));
         }
     }
+    if (context.trouble && chosen().with_large_body)
+    {
+        co_await sleep_for(milliseconds(200));
+        asio::co_spawn(context.io, send_large_body(context), asio::detached);
+    }
     co_await sleep_for(milliseconds(8000));
     context.record.write("peak " + std::to_string(watch.peak_mb) + " MB of " +
-                         std::to_string(memory_mb) + "; ordinary requests: " +
+                         std::to_string(chosen().memory_mb) + "; ordinary requests: " +
                          std::to_string(answers[200]) + " got 200, " + std::to_string(answers[0]) +
                          " no answer");
     co_return watch.ended ? verdict::broken : verdict::held;
@@ -194,5 +246,5 @@
 int main(int argc, char** argv)
 {
     return run_case(argc, argv,
-                    {.zones = {"kandy"}, .memory_mb = memory_mb, .max_fds = max_fds}, set_up, run);
+                    {.zones = {"kandy"}, .memory_mb = chosen().memory_mb, .max_fds = max_fds}, set_up, run);
 }
