Review case 10: a removed instance gets requests while the hubs are turned away for a second

Cause: a hub takes 1.5 s without contact for an outage and keeps missing entries for 2.3 s, for its subscribers too.

--- a/review/stand_ins_2/case_main.hpp
+++ b/review/stand_ins_2/case_main.hpp
@@ -28,6 +28,7 @@
     std::vector<std::string> zones; ///< Of the daemons, one each.
     int memory_mb = 260;
     int max_fds = 4100;
+    std::size_t turned_away = 0; ///< The first daemons, which the store turns away at times.
 };
 
 using case_body = std::function<asio::awaitable<verdict>(case_context&)>;
@@ -74,10 +75,12 @@
                          .folder = folder};
     record.write(context.trouble ? "with the disturbance" : "without the disturbance");
     setup(context);
-    for (const daemon_place& place : context.places)
+    for (std::size_t i = 0; i < context.places.size(); ++i)
     {
+        const daemon_place& place = context.places[i];
         write_settings(folder + "/" + place.node + ".json", place, context.places,
-                       {.store_address = platform.address(),
+                       {.store_address =
+                            i < chosen.turned_away ? platform.other_address() : platform.address(),
                         .memory_mb = chosen.memory_mb,
                         .max_fds = chosen.max_fds});
     }
--- a/review/stand_ins_2/stand_ins.hpp
+++ b/review/stand_ins_2/stand_ins.hpp
@@ -222,9 +222,23 @@
     };
 
     store(asio::io_context& io, recorder& record)
-        : record_(record), server_(io, [this](const request& message) { return handle(message); })
+        : record_(record),
+          server_(io, [this](const request& message) { return handle(message, false); }),
+          other_door_(io, [this](const request& message) { return handle(message, true); })
     {
         server_.open();
+        other_door_.open();
+    }
+
+    /// Address for machines that the store turns away at times.
+    const std::string& other_address() const { return other_door_.address(); }
+
+    /// From now on the machines of other_address() get no answer, until the store serves them
+    /// again.
+    void turn_away(bool away)
+    {
+        turns_away_ = away;
+        record_.write(away ? "store: turns some machines away" : "store: serves all machines");
     }
 
     const std::string& address() const { return server_.address(); }
@@ -314,9 +328,13 @@
         return ++calls_in_second_ > reads_per_s;
     }
 
-    asio::awaitable<std::optional<response>> handle(const request& message)
+    asio::awaitable<std::optional<response>> handle(const request& message, bool other_door)
     {
         ++calls_;
+        while (other_door && turns_away_)
+        {
+            co_await sleep_for(milliseconds(5));
+        }
         const std::string target(message.target());
         co_await sleep_for(milliseconds(4));
         if (is_beyond_rate())
@@ -354,6 +372,11 @@
             {
                 co_return respond(410, {{"current-rev", now_.revision}});
             }
+            if (other_door && turns_away_)
+            {
+                co_await sleep_for(milliseconds(5));
+                continue;
+            }
             json::array events = events_after(prefix, after);
             if (!events.empty() || clock::now() >= until)
             {
@@ -404,7 +427,9 @@
     std::size_t calls_ = 0;
     clock::time_point second_began_ = clock::now();
     std::size_t calls_in_second_ = 0;
+    bool turns_away_ = false;
     http_server server_;
+    http_server other_door_;
 };
 
 /// A request that an instance has run.
