--- a/review/stand_ins_2/crowd.cpp
+++ b/review/stand_ins_2/crowd.cpp
@@ -148,6 +148,8 @@
         co_await asio::async_write(*socket, asio::buffer(sent),
                                    asio::redirect_error(asio::use_awaitable, error));
     }
+    context.record.write("sent: crowd-" + std::to_string(number) + ", " +
+                         std::to_string(sent.size()) + " bytes" + (error ? ", not all" : ""));
     std::array<char, 1024> answer{};
     const std::size_t size = co_await socket->async_read_some(
         asio::buffer(answer), asio::redirect_error(asio::use_awaitable, error));
@@ -168,6 +170,7 @@
     sent.key = key;
     sent.body.assign(largest_body_bytes, 'x');
     sent.time_left_ms = 3000;
+    context.record.write("sent: large-1, " + std::to_string(largest_body_bytes) + " bytes of body");
     const client_answer answer = co_await send(std::move(sent));
     context.record.write("the large body got status " + std::to_string(answer.status));
 }
@@ -184,6 +187,7 @@
         sent.target = "/read/sheet";
         sent.key = key;
         const std::string id = sent.id;
+        context.record.write("sent: " + id);
         const client_answer answer = co_await send(std::move(sent));
         ++answers[answer.status];
         context.record.write("answer: " + id + " status " + std::to_string(answer.status));
--- a/review/stand_ins_2/drill.cpp
+++ b/review/stand_ins_2/drill.cpp
@@ -78,6 +78,7 @@
             sent.target = "/read/sheet";
             sent.key = key;
             sent_at[sent.id] = context.record.now();
+            context.record.write("sent: " + sent.id + " to " + context.places[daemon].node);
             asio::co_spawn(
                 context.io,
                 [](case_context& shared, client_request message) -> asio::awaitable<void>
--- a/review/stand_ins_2/lapsed.cpp
+++ b/review/stand_ins_2/lapsed.cpp
@@ -80,6 +80,7 @@
             sent.key = key;
             sent.body = is_order ? "two blocks" : "";
             sent_requests[sent.id] = {context.record.now(), daemon};
+            context.record.write("sent: " + sent.id + " to " + context.places[daemon].node);
             asio::co_spawn(
                 context.io,
                 [](case_context& shared, client_request message) -> asio::awaitable<void>
--- a/review/stand_ins_2/other_writer.cpp
+++ b/review/stand_ins_2/other_writer.cpp
@@ -69,6 +69,7 @@
             sent.target = is_order ? "/order/kithul" : "/read/sheet";
             sent.key = key;
             sent.body = is_order ? "two blocks" : "";
+            context.record.write("sent: " + sent.id + " to " + context.places[daemon].node);
             asio::co_spawn(
                 context.io,
                 [](case_context& shared, client_request message) -> asio::awaitable<void>
