--- a/review/stand_ins_2/lapsed.cpp
+++ b/review/10/case.cpp
@@ -1,7 +1,7 @@
 /// Case: the store turns the two hubs away for 1 s. Meanwhile the entry of an instance is removed
 /// that has lost its path to the store and serves on. Checks that the daemons that the store serves
 /// all the while send no request to it that is sent more than drain-s after the removal.
-#include "case_main.hpp"
+#include "../case_main_2.hpp"
 
 namespace
 {
--- a/review/stand_ins_2/drill.cpp
+++ b/review/6/case.cpp
@@ -1,7 +1,7 @@
 /// Case: in a drill the store comes back from a copy some seconds old, and its revisions are given
 /// out again. Some calm seconds later a key is withdrawn. Checks that no request with that key runs
 /// that is sent more than config-apply-s after the confirmation.
-#include "case_main.hpp"
+#include "../case_main_2.hpp"
 
 namespace
 {
--- a/review/stand_ins_2/case_main.hpp
+++ b/review/case_main_2.hpp
@@ -2,7 +2,7 @@
 /// temporary folder, waits for the daemons that the script starts, and runs the case.
 #pragma once
 
-#include "stand_ins.hpp"
+#include "stand_ins_2.hpp"
 
 #include <cstdlib>
 #include <filesystem>
--- a/review/stand_ins_2/crowd.cpp
+++ b/review/crowd_2.hpp
@@ -1,17 +1,15 @@
-/// Cases: a crowd of clients sends bodies of legal size that stop just short of their end. With
-/// CROWD=bodies a further client sends one body of the largest legal size whole; with CROWD=headers
-/// the crowd's headers, of legal size too, have many short fields. The stand-in of the platform
-/// ends a daemon that exceeds the memory of its machine, as the platform does. Checks that none is
-/// ended.
-#include "case_main.hpp"
+/// A crowd of clients that sends bodies of legal size which stop just short of their end, for cases
+/// 7 and 9. The stand-in of the platform ends a daemon that exceeds the memory of its machine, as
+/// the platform does. The case holds if none is ended.
+#pragma once
+
+#include "case_main_2.hpp"
 
 #include <csignal>
 
-namespace
+namespace review::crowd
 {
 
-using namespace review;
-
 constexpr const char* host = "patterns.example";
 constexpr const char* key = "key-a";
 /// As on all machines of kmh-ferry, and on most of kmh-ferry-grown.
@@ -27,29 +25,11 @@
     std::size_t header_bytes; ///< `header-bytes` is 16,384.
     std::size_t field_bytes;  ///< Of each of the further fields.
     std::size_t body_bytes;
-    bool with_large_body;
+    bool with_large_body; ///< A further client sends one body of the largest legal size whole.
 };
 
-/// Machines of 260 MB, as those of kmh-ferry.
-constexpr crowd_options headers_crowd = {.memory_mb = 260,
-                                         .clients = 1900,
-                                         .header_bytes = 16'000,
-                                         .field_bytes = 8,
-                                         .body_bytes = 48'000,
-                                         .with_large_body = false};
-/// Machines of 160 MB, as most of kmh-ferry-grown.
-constexpr crowd_options bodies_crowd = {.memory_mb = 160,
-                                        .clients = 1940,
-                                        .header_bytes = 4000,
-                                        .field_bytes = 100,
-                                        .body_bytes = 43'000,
-                                        .with_large_body = true};
-
-const crowd_options& chosen()
-{
-    const char* name = std::getenv("CROWD");
-    return name != nullptr && std::string(name) == "headers" ? headers_crowd : bodies_crowd;
-}
+/// Defined by the case.
+const crowd_options& chosen();
 
 std::vector<std::unique_ptr<instance>> instances;
 
@@ -213,7 +193,7 @@
     co_return got == "HTTP/1.1 200";
 }
 
-asio::awaitable<verdict> run(case_context& context)
+asio::awaitable<verdict> run_crowd(case_context& context)
 {
     static std::map<unsigned, int> answers;
     static memory_watch watch;
@@ -247,11 +227,11 @@
     co_return watch.ended ? verdict::broken : verdict::held;
 }
 
-} // namespace
-
-int main(int argc, char** argv)
+int run(int argc, char** argv)
 {
     return run_case(argc, argv,
                     {.zones = {"kandy"}, .memory_mb = chosen().memory_mb, .max_fds = max_fds},
-                    set_up, run);
+                    set_up, run_crowd);
 }
+
+} // namespace review::crowd
--- a/review/stand_ins_2/run_case.sh
+++ b/review/run_case_2.sh
@@ -1,11 +1,11 @@
-# Runs a case of the second review; sourced by the run.sh of each case, which has set `driver`, the name of its program.
+# Runs a case of the second review; sourced by the run.sh of each case.
 # Starts the driver (stand-ins and checks), then the daemons with the command of deploy/system.toml, and ends all of
 # them by their process ids. Exits with the driver's code: 1 if the rule was broken, 0 if it held, 2 if the case could
 # not run.
 # shellcheck shell=bash
-# shellcheck disable=SC2154 # driver comes from the caller.
 set -u
 case_folder=$(cd "$(dirname "$0")" && pwd)
+driver=case-$(basename "$case_folder")
 repository=$(cd "$case_folder/../.." && pwd)
 cd "$repository" || exit 2
 programs=target/review-2
