Replica: follow a store that was restored from a backup

What callers saw: after a drill of the store (Store-Era rises, revisions go back to those of the copy and are given out again) what was written there was ignored.

Cause: a change counted only above the highest revision that the replica had ever held, whatever era it was from.

Change: a replica knows the era of its revisions and compares within an era only. A response of another era leads to a full read, also a watch that the restored store answers because it has reached the known revision again; pages of two eras are not mixed. Values in the copy that are known to be superseded (by key, revision and value) are held back until the writers had time to write again, so that a server that has left is not used once more; what was written since the drill takes effect at once, also where it is noticed late. Two failed watches in a row pause before the next read. fleet/replica_updates has what hubs and subscribers do, which net and model both had in part.

Ruled out: that the configuration's version stopped it. A daemon whose replica took the change puts r12 in force; the replica never passed it on.

--- a/apps/fleet_check.cpp
+++ b/apps/fleet_check.cpp
@@ -58,7 +58,8 @@
     {
         violations += check_seed({.seed = first + i,
                                   .daemons = daemons,
-                                  .injected = injected.value_or(model::injection::none)});
+                                  .injected = injected.value_or(model::injection::none),
+                                  .store_restorations = options["restore-store"].as<bool>()});
     }
     return violations > 0 ? 1 : 0;
 }
@@ -77,6 +78,8 @@
             cxxopts::value<std::uint64_t>()->default_value("1"))
         ("daemons", "Daemons of the fleet", cxxopts::value<std::size_t>()->default_value("9"))
         ("inject", "Deliberate fault to turn on", cxxopts::value<std::string>()->default_value(""))
+        ("restore-store", "Restore the store from backups now and then",
+            cxxopts::value<bool>()->default_value("false"))
         ("list-injections", "Print the deliberate faults and the promises that they break",
             cxxopts::value<bool>()->default_value("false"));
     // clang-format on
--- a/deploy/sources.cmake
+++ b/deploy/sources.cmake
@@ -8,7 +8,7 @@
     config/address config/index config/model config/text_file
     core/command_line core/compression core/digest core/error core/hash
     fleet/fleet_view fleet/hub_choice fleet/hub_messages fleet/load_encoding fleet/registry fleet/replica
-    fleet/report_echoes fleet/service_loads
+    fleet/replica_updates fleet/report_echoes fleet/service_loads
     limits/account_pools limits/body_budget limits/connection_budget limits/probe_budget limits/retry_budget
     limits/token_bucket
     net/backend_connection_pool net/backend_selection net/body_room net/caller_session net/daemon net/daemon_program
--- a/src/fleet/hub.capnp
+++ b/src/fleet/hub.capnp
@@ -30,6 +30,7 @@
     acceptsCompressed @4 :Bool;  # The subscriber reads Compressed messages.
     linkMbps @5 :UInt32;  # 0 if not known.
     membersKnown @6 :UInt32;  # The size of the fleet; 0 if the subscriber does not know it.
+    era @7 :UInt64 = 0xffffffffffffffff;  # Of the replica's revisions; the default is sent by older versions.
 }
 
 struct ServiceLoad {
@@ -73,6 +74,7 @@
     changes @3 :List(Change);
     lastReport @4 :UInt64;  # Number of the subscriber's latest report; 0 before the first.
     loads @5 :List(ServiceLoad);  # Sums over the hub and its subscribers; none to those that use another primary hub.
+    era @6 :UInt64 = 0xffffffffffffffff;  # Of all revisions in the message; the default is sent by older versions.
 }
 
 struct Fleet {
--- a/src/fleet/hub.capnp.h
+++ b/src/fleet/hub.capnp.h
@@ -73,7 +73,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eaed290eb65e3159, 4, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(eaed290eb65e3159, 5, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -148,7 +148,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(91e1793972b28854, 4, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(91e1793972b28854, 5, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -446,6 +446,8 @@
 
   inline  ::uint32_t getMembersKnown() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -503,6 +505,9 @@
   inline  ::uint32_t getMembersKnown();
   inline void setMembersKnown( ::uint32_t value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -945,6 +950,8 @@
   inline bool hasLoads() const;
   inline  ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -999,6 +1006,9 @@
   inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::zinniaferry::fleet::wire::ServiceLoad,  ::capnp::Kind::STRUCT>> disownLoads();
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1696,6 +1706,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Hello::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, 18446744073709551615ull);
+}
+
+inline  ::uint64_t Hello::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, 18446744073709551615ull);
+}
+inline void Hello::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value, 18446744073709551615ull);
+}
+
 inline bool ServiceLoad::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2128,6 +2152,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Update::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, 18446744073709551615ull);
+}
+
+inline  ::uint64_t Update::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, 18446744073709551615ull);
+}
+inline void Update::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value, 18446744073709551615ull);
+}
+
 inline  ::uint32_t Fleet::Reader::getMembersKnown() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/fleet/hub_messages.cpp
+++ b/src/fleet/hub_messages.cpp
@@ -50,6 +50,14 @@
                             : std::optional<core::duration>(std::chrono::microseconds(us));
 }
 
+/// Stands for an era that is not stated.
+constexpr std::uint64_t no_era = 0xffffffffffffffff;
+
+store_era read_era(std::uint64_t era)
+{
+    return era == no_era ? std::nullopt : store_era(era);
+}
+
 struct message_writer
 {
     wire::HubMessage::Builder out;
@@ -61,6 +69,7 @@
         hello.setAddress(value.self.address);
         hello.setLinkMbps(value.self.link_mbps);
         hello.setIncarnation(value.incarnation);
+        hello.setEra(value.era.value_or(no_era));
         hello.setRevision(value.revision);
         hello.setAcceptsCompressed(value.accepts_compressed);
         hello.setMembersKnown(value.members_known);
@@ -77,6 +86,7 @@
     void operator()(const update_message& value)
     {
         auto update = out.initUpdate();
+        update.setEra(value.era.value_or(no_era));
         update.setRevision(value.revision);
         update.setComplete(value.complete);
         update.setAgeUs(static_cast<std::uint64_t>(
@@ -141,6 +151,7 @@
     // overflow only from far greater values.
     constexpr std::uint64_t max_age_us = 86'400ULL * 1'000'000ULL;
     update_message out;
+    out.era = read_era(update.getEra());
     out.revision = update.getRevision();
     out.complete = update.getComplete();
     out.last_report = update.getLastReport();
@@ -193,6 +204,7 @@
         return hello_message{
             .self = {text(hello.getVm()), text(hello.getAddress()), hello.getLinkMbps()},
             .incarnation = hello.getIncarnation(),
+            .era = read_era(hello.getEra()),
             .revision = hello.getRevision(),
             .accepts_compressed = hello.getAcceptsCompressed(),
             .members_known = hello.getMembersKnown()};
--- a/src/fleet/hub_messages.hpp
+++ b/src/fleet/hub_messages.hpp
@@ -33,6 +33,7 @@
 {
     member self;
     std::uint64_t incarnation = 0;   ///< Random; differs between two process starts on one VM.
+    store_era era;                   ///< Of the subscriber's replica.
     std::uint64_t revision = 0;      ///< Of the subscriber's replica; 0 for none.
     bool accepts_compressed = false; ///< The subscriber reads compressed messages.
     /// Members of the fleet that the subscriber knows; 0 if it does not know the fleet's size. A
@@ -88,6 +89,7 @@
 /// Hub to subscriber: sent at each change, and at short intervals without one.
 struct update_message
 {
+    store_era era;                 ///< Of the hub's replica and of all revisions here.
     std::uint64_t revision = 0;    ///< Of the hub's replica.
     bool complete = false;         ///< `changes` is a snapshot of all entries.
     core::duration age{};          ///< The hub knew all changes made until this long ago.
--- a/src/model/hub_links.cpp
+++ b/src/model/hub_links.cpp
@@ -43,12 +43,8 @@
     const core::time_point as_of = fleet::sent_after(connection->echoes) - update.age;
     fleet::on_update(process.hubs, world.daemons[connection->hub].identity.address, as_of, now);
     process.received_update = true;
-    const auto changes =
-        update.complete
-            ? fleet::apply_snapshot(process.replica, update.changes, update.revision, {}, now)
-            : fleet::apply_changes(process.replica, update.changes, update.revision);
-    process.replica.current_as_of = std::max(process.replica.current_as_of, as_of);
-    apply_changes(world, connection->subscriber, changes);
+    apply_changes(world, connection->subscriber,
+                  fleet::apply_update(process.replica, update, as_of, now));
 }
 
 void handle_fleet(world& world, const hub_connection_pointer& connection,
@@ -118,18 +114,10 @@
     {
         return;
     }
-    fleet::update_message update;
-    update.revision = replica.revision;
-    update.age = world.queue.now - replica.current_as_of;
+    fleet::update_message update =
+        fleet::make_update(replica, connection->position, world.queue.now);
     update.last_report = connection->last_report;
-    auto changes = connection->sent_sequence == 0
-                       ? std::nullopt
-                       : fleet::changes_after(replica, connection->sent_sequence);
-    update.complete = !changes.has_value();
-    update.changes =
-        changes ? std::move(*changes) : fleet::make_snapshot(replica, connection->known_revision);
-    connection->sent_sequence = replica.sequence;
-    connection->known_revision = replica.revision;
+    fleet::on_update_sent(connection->position, replica);
     send_to_subscriber(world, connection, update, handle_update);
 }
 
@@ -182,9 +170,7 @@
     fleet::on_met(hub.hubs, hello.self.address);
     apply_fleet_view(world, connection->hub);
     hub.subscribers.push_back(connection);
-    const bool is_up_to_date = hello.revision != 0 && hello.revision == hub.replica.revision;
-    connection->sent_sequence = is_up_to_date ? hub.replica.sequence : 0;
-    connection->known_revision = hello.revision;
+    connection->position = fleet::position_from(hello, hub.replica);
     send_updates_regularly(world, connection);
     send_fleet_regularly(world, connection);
 }
@@ -222,6 +208,7 @@
     send_to_hub(world, connection,
                 fleet::hello_message{.self = world.daemons[daemon].identity,
                                      .incarnation = subscriber.number,
+                                     .era = subscriber.replica.era,
                                      .revision = revision,
                                      .members_known = stated_size},
                 handle_hello);
--- a/src/model/injection.cpp
+++ b/src/model/injection.cpp
@@ -29,6 +29,7 @@
     injection_entry{injection::spend_grants_twice, "spend_grants_twice", promise::quota},
     injection_entry{injection::unlimited_retries, "unlimited_retries", promise::budget},
     injection_entry{injection::ignore_attempts, "ignore_attempts", promise::budget},
+    injection_entry{injection::ignore_store_era, "ignore_store_era", promise::config},
 };
 
 /// In the order of `promise`.
--- a/src/model/injection.hpp
+++ b/src/model/injection.hpp
@@ -23,7 +23,8 @@
     ignore_warmup,       ///< Cold servers count as warm.
     spend_grants_twice,  ///< Each grant is spent twice.
     unlimited_retries,   ///< Retries are not limited by a budget.
-    ignore_attempts      ///< Requests may run on any number of servers.
+    ignore_attempts,     ///< Requests may run on any number of servers.
+    ignore_store_era     ///< Revisions of a restored store are compared with earlier ones.
 };
 
 /// The groups of promises, with the names that the platform's rules have.
--- a/src/model/process.cpp
+++ b/src/model/process.cpp
@@ -118,7 +118,7 @@
 void maintain(world& world, std::size_t daemon)
 {
     process& process = *world.daemons[daemon].running;
-    apply_changes(world, daemon, fleet::expire_missing(process.replica, world.queue.now));
+    apply_changes(world, daemon, fleet::apply_held_changes(process.replica, world.queue.now));
     for (const auto& server : routing::take_due_probes(process.gateway->backends, world.queue.now))
     {
         const backend_server& target = world.servers.at(server->listed.id);
--- a/src/model/run.cpp
+++ b/src/model/run.cpp
@@ -2,6 +2,7 @@
 
 #include "model/callers.hpp"
 #include "model/operator.hpp"
+#include "model/restorations.hpp"
 #include "model/scenario.hpp"
 #include "model/world.hpp"
 
@@ -53,6 +54,10 @@
     schedule(world->queue, start + std::chrono::seconds(1),
              [&world, end] { start_callers(*world, end); });
     schedule_scenario(*world, start + calm_time, end - last_calm_time);
+    if (options.store_restorations)
+    {
+        schedule_restorations(*world, start + calm_time, end - last_calm_time, options.seed);
+    }
     run_until(world->queue, end);
     const auto& requests = world->history.requests;
     return {.violations = find_violations(world->history, world->bounds),
--- a/src/model/run.hpp
+++ b/src/model/run.hpp
@@ -11,6 +11,7 @@
     std::uint64_t seed = 1;
     std::size_t daemons = 9;
     injection injected = injection::none;
+    bool store_restorations = false; ///< The store is restored from backups now and then.
     core::duration length = std::chrono::seconds(60); ///< Of virtual time.
 };
 
--- a/src/model/store.cpp
+++ b/src/model/store.cpp
@@ -10,7 +10,8 @@
 
 store_response response_after(const store& store, std::uint64_t revision)
 {
-    store_response out{.revision = store.revision};
+    store_response out{.era = store.era, .revision = store.revision};
+    out.is_history_gone = revision > store.revision;
     std::copy_if(store.log.begin(), store.log.end(), std::back_inserter(out.changes),
                  [&](const fleet::entry_change& change) { return change.revision > revision; });
     return out;
@@ -44,7 +45,7 @@
     {
         return;
     }
-    store_response out{.revision = store.revision};
+    store_response out{.era = store.era, .revision = store.revision};
     for (const auto& [key, entry] : store.entries)
     {
         out.changes.push_back(entry);
@@ -59,7 +60,7 @@
     {
         return;
     }
-    if (store.revision > after)
+    if (store.revision != after)
     {
         reply(response_after(store, after));
         return;
@@ -81,6 +82,13 @@
              });
 }
 
+void restore(store& store, store_content backup)
+{
+    static_cast<store_content&>(store) = std::move(backup);
+    ++store.era;
+    store.watches.clear();
+}
+
 void set_out_of_reach(store& store, std::size_t daemon, bool out_of_reach)
 {
     store.out_of_reach[daemon] = out_of_reach;
--- a/src/model/store.hpp
+++ b/src/model/store.hpp
@@ -18,7 +18,10 @@
 /// The response to a read (all entries) or to a watch (the changes).
 struct store_response
 {
+    /// The store does not have the revision after which changes were asked for.
+    bool is_history_gone = false;
     std::vector<fleet::entry_change> changes;
+    fleet::store_era era = 1;
     std::uint64_t revision = 0; ///< Of the store when it responded.
 };
 
@@ -33,11 +36,17 @@
     store_reply reply;
 };
 
-struct store
+/// What a backup of the store holds.
+struct store_content
 {
     std::map<std::string, fleet::entry_change> entries; ///< By key.
     std::vector<fleet::entry_change> log;               ///< All changes, by revision.
     std::uint64_t revision = 0;
+};
+
+struct store : store_content
+{
+    std::uint64_t era = 1;
     std::vector<bool> out_of_reach; ///< By daemon.
     std::uint64_t next_watch = 0;
     std::vector<waiting_watch> watches;
@@ -56,6 +65,9 @@
 void watch(store& store, event_queue& queue, std::size_t daemon, std::uint64_t after,
            core::duration max_wait, store_reply reply);
 
+/// Replaces the content of the store by that of a backup, and cuts the waiting watches.
+void restore(store& store, store_content backup);
+
 /// Sets whether the store is out of the daemon's reach. Its waiting watches get no reply then.
 void set_out_of_reach(store& store, std::size_t daemon, bool out_of_reach);
 
--- a/src/model/store_follower.cpp
+++ b/src/model/store_follower.cpp
@@ -13,7 +13,6 @@
 constexpr core::duration idle_poll_interval = std::chrono::milliseconds(200);
 constexpr core::duration batching_delay = std::chrono::milliseconds(200);
 constexpr core::duration outage_threshold = std::chrono::milliseconds(1500);
-constexpr core::duration reregistration_grace = std::chrono::milliseconds(2300);
 constexpr std::size_t call_bytes = 200;
 constexpr std::size_t entry_bytes = 300;
 
@@ -22,6 +21,11 @@
     run_after(world, daemon, delay, [&world, daemon] { follow_store(world, daemon); });
 }
 
+fleet::store_era era_of(const world& world, const store_response& response)
+{
+    return world.injected == injection::ignore_store_era ? std::nullopt : response.era;
+}
+
 /// A call to the store, which its response or its timeout ends.
 struct store_call
 {
@@ -77,9 +81,10 @@
             const bool after_outage =
                 process.replica.complete && now - process.replica.current_as_of > outage_threshold;
             process.needs_full_read = false;
+            const auto era = era_of(world, *response);
             const auto changes = fleet::apply_snapshot(
                 process.replica, std::move(response->changes), response->revision,
-                after_outage ? reregistration_grace : core::duration(), now);
+                after_outage ? fleet::rewrite_time : core::duration(), now, era);
             process.replica.current_as_of = std::max(process.replica.current_as_of, asked_at);
             apply_changes(world, daemon, changes);
             follow_store(world, daemon);
@@ -88,21 +93,26 @@
 
 void watch_store(world& world, std::size_t daemon)
 {
+    const fleet::store_era era = world.daemons[daemon].running->replica.era;
     const std::uint64_t after = world.daemons[daemon].running->replica.revision;
     const core::time_point asked_at = world.queue.now;
     call_store(
         world, daemon, watch_timeout,
         [&world, daemon, after](store_reply reply)
         { watch(world.store, world.queue, daemon, after, watch_max_wait, std::move(reply)); },
-        [&world, daemon, asked_at](std::optional<store_response> response)
+        [&world, daemon, asked_at, era](std::optional<store_response> response)
         {
             process& process = *world.daemons[daemon].running;
-            if (!response)
+            if (!response || response->is_history_gone ||
+                !fleet::is_same_era(era, era_of(world, *response)))
             {
+                const bool is_read_at_once = response && !process.watch_failed;
                 process.needs_full_read = true;
-                follow_after(world, daemon, retry_delay);
+                process.watch_failed = true;
+                follow_after(world, daemon, is_read_at_once ? core::duration() : retry_delay);
                 return;
             }
+            process.watch_failed = false;
             const bool has_changes = !response->changes.empty();
             process.replica.current_as_of =
                 std::max(process.replica.current_as_of,
@@ -111,7 +121,7 @@
                              world.queue.now, has_changes));
             apply_changes(world, daemon,
                           fleet::apply_changes(process.replica, std::move(response->changes),
-                                               response->revision));
+                                               response->revision, era_of(world, *response)));
             follow_after(world, daemon, has_changes ? batching_delay : core::duration());
         });
 }
--- a/src/model/world.hpp
+++ b/src/model/world.hpp
@@ -12,6 +12,7 @@
 #include "fleet/hub_choice.hpp"
 #include "fleet/primary_statement.hpp"
 #include "fleet/registry.hpp"
+#include "fleet/replica_updates.hpp"
 #include "fleet/report_echoes.hpp"
 #include "model/bounds.hpp"
 #include "model/history.hpp"
@@ -38,11 +39,10 @@
     std::uint64_t hub_process = 0;
     bool open_at_subscriber = false;
     bool open_at_hub = false;
-    std::uint64_t sent_sequence = 0;    ///< Of the changes sent; 0 until the first snapshot.
-    std::uint64_t known_revision = 0;   ///< Revision that the subscriber was brought to.
-    std::uint64_t last_report = 0;      ///< Number of the latest report, as the hub received it.
-    fleet::report_echoes echoes;        ///< Of the subscriber's reports.
-    fleet::primary_statement statement; ///< Of the subscriber.
+    fleet::subscriber_position position; ///< What the hub has sent.
+    std::uint64_t last_report = 0;       ///< Number of the latest report, as the hub received it.
+    fleet::report_echoes echoes;         ///< Of the subscriber's reports.
+    fleet::primary_statement statement;  ///< Of the subscriber.
     std::uint64_t members_version_sent = 0; ///< registry::members_version.
     std::vector<fleet::member> members;     ///< As the subscriber received them.
     fleet::fleet_message last_fleet;        ///< As the subscriber received it.
@@ -78,6 +78,7 @@
     bool received_update = false;
     bool ready = false;
     bool needs_full_read = false;
+    bool watch_failed = false; ///< The last watch failed; a full read may have come since.
     std::map<std::uint64_t, pending_grant> pending_grants; ///< By number.
     std::uint64_t next_grant = 1;
 };
@@ -123,7 +124,8 @@
     std::map<std::string, core::time_point> storms; ///< By account: sends far above its rate until.
     bool store_down = false;                        ///< For all daemons and the operator.
     core::random_generator random;
-    boost::asio::io_context io; ///< Never run; gateways keep a reference.
+    core::random_generator restoration_random; ///< For restorations of the store only.
+    boost::asio::io_context io;                ///< Never run; gateways keep a reference.
     std::uint64_t next_process = 1;
 };
 
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -276,7 +276,7 @@
         {
             co_await pause(maintenance_interval);
             const core::time_point now = core::boot_clock_now();
-            apply_changes(fleet::expire_missing(replica_, now));
+            apply_changes(fleet::apply_held_changes(replica_, now));
             maintain(gateway_, now);
             if (now >= log_counters_at)
             {
@@ -448,7 +448,7 @@
         out["peers"] = links_.dump();
         out["replica"] = {{"revision", replica_.revision},
                           {"entries", replica_.entries.size()},
-                          {"missing", replica_.missing.size()},
+                          {"held", replica_.held.size()},
                           {"age_ms", core::to_milliseconds(now - replica_.current_as_of)}};
         return out;
     }
--- a/src/net/hub_links.cpp
+++ b/src/net/hub_links.cpp
@@ -193,6 +193,7 @@
     fleet::on_connected(choice_, address, now);
     send(*hub, fleet::hello_message{.self = registry_.self,
                                     .incarnation = incarnation_,
+                                    .era = replica_.era,
                                     .revision = replica_.complete ? replica_.revision : 0,
                                     .accepts_compressed = true,
                                     .members_known = fleet::size_to_state(known_fleet_.recent_size,
@@ -260,11 +261,7 @@
     const core::time_point as_of = current_as_of(address, hub, update);
     fleet::on_update(choice_, address, as_of, now);
     received_update_ = true;
-    const auto changes =
-        update.complete ? fleet::apply_snapshot(replica_, update.changes, update.revision, {}, now)
-                        : fleet::apply_changes(replica_, update.changes, update.revision);
-    replica_.current_as_of = std::max(replica_.current_as_of, as_of);
-    callbacks_.on_changes(changes);
+    callbacks_.on_changes(fleet::apply_update(replica_, update, as_of, now));
     // Older hubs send no loads, and a hub none in updates with changes.
     if (address == primary_hub_ && !update.loads.empty())
     {
--- a/src/net/hub_subscribers.cpp
+++ b/src/net/hub_subscribers.cpp
@@ -47,15 +47,7 @@
                {{"subscriber", vm}, {"revision", subscriber_hello.revision}});
     subscriber->vm = vm;
     subscribers_.insert(subscriber);
-    // A subscriber whose revision differs from that of the replica gets a snapshot, with the values
-    // of the entries that it lacks.
-    const bool is_up_to_date =
-        subscriber_hello.revision != 0 && subscriber_hello.revision == replica_.revision;
-    subscriber->position = {.sent_sequence = is_up_to_date ? replica_.sequence : 0,
-                            .known_revision = subscriber_hello.revision,
-                            .compression = subscriber_hello.accepts_compressed
-                                               ? fleet::compression::allowed
-                                               : fleet::compression::off};
+    subscriber->position = fleet::position_from(subscriber_hello, replica_);
     asio::co_spawn(io_, write_frames(subscriber), asio::detached);
     asio::co_spawn(io_, send_updates(subscriber), asio::detached);
     while (const auto message = co_await receive(*subscriber))
@@ -122,20 +114,19 @@
 
 void hub_links::send_changes(link& subscriber)
 {
-    if (subscriber.position.sent_sequence == 0 ||
-        subscriber.position.sent_sequence != replica_.sequence)
+    if (fleet::is_behind(subscriber.position, replica_))
     {
         const frame_pointer previous = shared_update_.update.frame;
         const encoded_update update =
             update_for(shared_update_, replica_, subscriber.position, core::boot_clock_now());
         counters_.updates_encoded += update.frame == previous ? 0 : 1;
-        subscriber.position.sent_sequence = replica_.sequence;
-        subscriber.position.known_revision = replica_.revision;
+        fleet::on_update_sent(subscriber.position, replica_);
         counters_.bytes_out += update.frame->size();
         queue_frame(subscriber, update.frame);
         log_snapshot(update);
     }
-    send(subscriber, fleet::update_message{.revision = replica_.revision,
+    send(subscriber, fleet::update_message{.era = replica_.era,
+                                           .revision = replica_.revision,
                                            .age = core::boot_clock_now() - replica_.current_as_of,
                                            .last_report = subscriber.last_report,
                                            .loads = loads_for(subscriber)});
--- a/src/net/shared_update.cpp
+++ b/src/net/shared_update.cpp
@@ -13,15 +13,8 @@
 encoded_update encode(const fleet::replica& replica, const subscriber_position& position,
                       core::time_point now)
 {
-    auto changes = position.sent_sequence == 0
-                       ? std::nullopt
-                       : fleet::changes_after(replica, position.sent_sequence);
-    fleet::update_message update;
-    update.revision = replica.revision;
-    update.age = now - replica.current_as_of + max_sharing_time;
-    update.complete = !changes.has_value();
-    update.changes =
-        changes ? std::move(*changes) : fleet::make_snapshot(replica, position.known_revision);
+    fleet::update_message update = fleet::make_update(replica, position, now);
+    update.age += max_sharing_time;
     return {.frame = std::make_shared<const std::string>(
                 fleet::encode_frame(update, position.compression)),
             .entries = update.changes.size(),
--- a/src/net/shared_update.hpp
+++ b/src/net/shared_update.hpp
@@ -2,25 +2,13 @@
 /// compressed once for all that lack the same changes.
 #pragma once
 
-#include "fleet/hub_messages.hpp"
-#include "fleet/replica.hpp"
+#include "fleet/replica_updates.hpp"
 #include "net/peer_link.hpp"
 
-#include <optional>
-
 namespace zinniaferry::net
 {
 
-/// What a subscriber knows, which determines the changes that it lacks.
-struct subscriber_position
-{
-    /// replica::sequence of the changes sent to it; 0 before its snapshot.
-    std::uint64_t sent_sequence = 0;
-    std::uint64_t known_revision = 0; ///< Revision that it has been brought to; 0 for none.
-    fleet::compression compression = fleet::compression::off;
-
-    bool operator==(const subscriber_position&) const = default;
-};
+using fleet::subscriber_position;
 
 /// An encoded update.
 struct encoded_update
--- a/test/correctness/fleet/hub_messages_test.cpp
+++ b/test/correctness/fleet/hub_messages_test.cpp
@@ -27,6 +27,7 @@
 {
     return {hello_message{.self = {"vm-1", "10.0.0.1:7"},
                           .incarnation = 77,
+                          .era = 3,
                           .revision = 12,
                           .accepts_compressed = true,
                           .members_known = 9},
@@ -35,7 +36,8 @@
             report_message{.number = 5},
             report_message{.loads = sample_loads()},
             update_message{.age = 1500us, .last_report = 4, .loads = sample_loads()},
-            update_message{.revision = 9,
+            update_message{.era = 0,
+                           .revision = 9,
                            .complete = true,
                            .age = 1500us,
                            .last_report = 4,
--- a/test/correctness/fleet/replica_test.cpp
+++ b/test/correctness/fleet/replica_test.cpp
@@ -55,9 +55,9 @@
     replica copy;
     apply_changes(copy, {written("a", "1", 1), written("b", "1", 2)}, 2);
     EXPECT_TRUE(apply_snapshot(copy, {}, 10, 2s, start).empty());
-    EXPECT_TRUE(expire_missing(copy, start + 1s).empty());
+    EXPECT_TRUE(apply_held_changes(copy, start + 1s).empty());
     apply_changes(copy, {written("a", "1", 11)}, 11);
-    const auto expired = expire_missing(copy, start + 2s);
+    const auto expired = apply_held_changes(copy, start + 2s);
     ASSERT_EQ(expired.size(), 1U);
     EXPECT_EQ(expired[0].key, "b");
     EXPECT_TRUE(copy.entries.contains("a"));
@@ -72,7 +72,7 @@
     const std::uint64_t seen = copy.sequence;
     EXPECT_TRUE(changes_after(copy, seen)->empty());
     apply_snapshot(copy, {written("b", "1", 2)}, 2, 1s, start);
-    expire_missing(copy, start + 1s);
+    apply_held_changes(copy, start + 1s);
     const auto changes = changes_after(copy, seen);
     ASSERT_TRUE(changes);
     ASSERT_EQ(changes->size(), 1U);
@@ -112,6 +112,113 @@
     EXPECT_EQ(make_snapshot(copy, 0), make_snapshot(hub, 0));
 }
 
+// Guards against a replica that ignores what is written to a store that was restored from a backup,
+// because the revisions there begin again at that of the backup.
+TEST(replica, in_a_new_era_lower_revisions_are_applied)
+{
+    replica copy;
+    apply_snapshot(copy, {written("config", "r10", 20)}, 20, {}, start, 1);
+    apply_changes(copy, {written("config", "r11", 30)}, 30, 1);
+    apply_snapshot(copy, {written("config", "r10", 20)}, 20, {}, start, 2);
+    EXPECT_EQ(copy.revision, 20U);
+    EXPECT_EQ(copy.entries.at("config").value, "r11") << "the backup is older";
+    EXPECT_EQ(apply_changes(copy, {written("config", "r12", 21)}, 21, 2).size(), 1U);
+    EXPECT_EQ(copy.entries.at("config").value, "r12");
+    EXPECT_TRUE(apply_held_changes(copy, start + 1h).empty());
+}
+
+// Guards against a server that gets requests again although it was listed as leaving, or removed,
+// because a store restored from a backup lists it as before.
+TEST(replica, a_restored_store_does_not_bring_back_what_has_changed_since_the_backup)
+{
+    replica copy;
+    apply_snapshot(copy, {written("leaving", "ready", 11), written("left", "ready", 12)}, 20, {},
+                   start, 1);
+    apply_changes(copy, {written("leaving", "draining", 21), removed("left", 22)}, 22, 1);
+    const auto backup = {written("leaving", "ready", 11), written("left", "ready", 12)};
+    for (int reads = 0; reads < 2; ++reads)
+    {
+        EXPECT_TRUE(apply_snapshot(copy, backup, 20, {}, start, 2).empty()) << reads;
+    }
+    EXPECT_EQ(copy.entries.at("leaving").value, "draining");
+    EXPECT_FALSE(copy.entries.contains("left"));
+    EXPECT_EQ(apply_changes(copy, {removed("left", 21)}, 21, 2).size(), 1U);
+    EXPECT_EQ(apply_changes(copy, {written("leaving", "draining", 22)}, 22, 2).size(), 1U);
+    EXPECT_TRUE(apply_held_changes(copy, start + 1h).empty());
+}
+
+// Guards against a server that is never used again because it changed before its store was restored
+// from a backup, and not since.
+TEST(replica, a_restored_entry_that_is_not_written_again_is_applied)
+{
+    replica copy;
+    apply_snapshot(copy, {written("a", "1", 11), written("b", "1", 12)}, 20, {}, start, 1);
+    apply_changes(copy, {written("a", "2", 21), removed("b", 22)}, 22, 1);
+    apply_snapshot(copy, {written("a", "1", 11), written("b", "1", 12)}, 20, {}, start, 2);
+    EXPECT_TRUE(apply_held_changes(copy, start + 2s).empty());
+    EXPECT_EQ(apply_held_changes(copy, start + rewrite_time),
+              (std::vector<entry_change>{written("a", "1", 11)}));
+    EXPECT_EQ(apply_held_changes(copy, start + rewrite_time + copy.entry_lifetime),
+              (std::vector<entry_change>{written("b", "1", 12)}));
+}
+
+// Guards against the loss of servers and data centres out of service that were listed after the
+// backup, before they can be written again.
+TEST(replica, entries_that_a_restored_store_lacks_get_a_grace_period)
+{
+    replica copy;
+    apply_snapshot(copy, {written("a", "1", 11)}, 20, {}, start, 1);
+    apply_changes(copy, {written("b", "1", 21), written("c", "1", 22)}, 22, 1);
+    EXPECT_TRUE(apply_snapshot(copy, {written("a", "1", 11)}, 20, {}, start, 2).empty());
+    EXPECT_TRUE(apply_snapshot(copy, {written("a", "1", 11)}, 20, {}, start + 1s, 2).empty());
+    EXPECT_EQ(copy.entries.size(), 3U);
+    apply_changes(copy, {written("b", "1", 21)}, 21, 2);
+    EXPECT_EQ(apply_held_changes(copy, start + rewrite_time),
+              (std::vector<entry_change>{removed("c", 21)}));
+    EXPECT_TRUE(copy.entries.contains("b"));
+}
+
+// Guards against a change that takes effect too late because the replica learns of the restoration
+// only after it: what was written since is not held back, although its revision is lower than the
+// one that the replica knew.
+TEST(replica, changes_made_since_the_restoration_are_applied_at_once)
+{
+    replica copy;
+    apply_snapshot(copy,
+                   {written("a", "1", 10), written("b", "1", 11), written("config", "r10", 12)}, 12,
+                   {}, start, 1);
+    apply_changes(copy, {written("config", "r11", 30)}, 30, 1);
+    const auto changes = apply_snapshot(copy, {written("b", "1", 11), written("config", "r12", 14)},
+                                        14, {}, start, 2);
+    const std::vector<entry_change> expected = {written("config", "r12", 14), removed("a", 14)};
+    EXPECT_EQ(changes, expected) << "the backup had the removed entry";
+}
+
+// Guards against a replica that returns to the state before a restoration, which another daemon
+// that has not noticed it still sends.
+TEST(replica, an_earlier_era_has_no_effect)
+{
+    replica copy;
+    apply_snapshot(copy, {written("a", "2", 5)}, 5, {}, start, 2);
+    EXPECT_TRUE(apply_changes(copy, {written("a", "1", 9)}, 9, 1).empty());
+    EXPECT_TRUE(apply_snapshot(copy, {written("a", "1", 9)}, 9, {}, start, 1).empty());
+    EXPECT_EQ(copy.revision, 5U);
+    EXPECT_EQ(copy.entries.at("a").value, "2");
+}
+
+// Guards against state that a second restoration, soon after the first, brings back.
+TEST(replica, what_is_held_back_stays_so_in_the_next_era)
+{
+    replica copy;
+    const auto backup = {written("leaving", "ready", 11), written("left", "ready", 12)};
+    apply_snapshot(copy, backup, 20, {}, start, 1);
+    apply_changes(copy, {written("leaving", "draining", 21), removed("left", 22)}, 22, 1);
+    apply_snapshot(copy, backup, 20, {}, start, 2);
+    EXPECT_TRUE(apply_snapshot(copy, backup, 20, {}, start + 1s, 3).empty());
+    EXPECT_EQ(copy.entries.at("leaving").value, "draining");
+    EXPECT_FALSE(copy.entries.contains("left"));
+}
+
 // Guards against a replica that counts as current because a response to a long poll was read late,
 // after it had waited in a full link or while the VM was suspended.
 TEST(replica, a_delayed_response_to_a_long_poll_is_as_old_as_it_may_be)
--- a/test/correctness/model/fleet_check_test.cpp
+++ b/test/correctness/model/fleet_check_test.cpp
@@ -42,6 +42,18 @@
     EXPECT_EQ(lines_of(run({.seed = 240, .daemons = 19})), "");
 }
 
+// Guards against changes that are ignored, and lost state that comes back, when the store is
+// restored from backups while the fleet is disturbed.
+TEST(fleet_check, seeds_with_a_restored_store_have_no_violation)
+{
+    for (const std::uint64_t seed : {1U, 2U, 3U, 4U, 5U})
+    {
+        const run_result result = run({.seed = seed, .store_restorations = true});
+        EXPECT_EQ(lines_of(result), "") << "seed " << seed;
+        EXPECT_GT(result.successes, result.requests / 4) << "seed " << seed;
+    }
+}
+
 // Guards against a check that cannot fail: each deliberate fault must be reported as a violation of
 // the promise that it breaks, and of no other.
 TEST(fleet_check, finds_each_injected_fault)
@@ -50,9 +62,14 @@
     {
         std::set<promise> found;
         // Not every fault shows in the course of every seed.
-        for (const std::uint64_t seed : {29U, 31U, 32U})
+        const bool restored = injected == injection::ignore_store_era;
+        const std::vector<std::uint64_t> seeds = restored ? std::vector<std::uint64_t>{11, 16, 20}
+                                                          : std::vector<std::uint64_t>{29, 31, 32};
+        for (const std::uint64_t seed : seeds)
         {
-            for (const violation& entry : run({.seed = seed, .injected = injected}).violations)
+            const run_options options = {
+                .seed = seed, .injected = injected, .store_restorations = restored};
+            for (const violation& entry : run(options).violations)
             {
                 found.insert(entry.broken);
             }
--- a/test/correctness/platform/store_follower_test.cpp
+++ b/test/correctness/platform/store_follower_test.cpp
@@ -17,7 +17,7 @@
 boost::asio::awaitable<void> follow(net::follow_context context, std::string address,
                                     std::uint64_t& call_count)
 {
-    store_follower follower(std::move(context), std::move(address), call_count);
+    store_follower follower(std::move(context), {.address = std::move(address)}, call_count);
     co_await follower.run();
 }
 
@@ -114,9 +114,50 @@
     store.forced_status.reset();
     ASSERT_TRUE(run_until([&] { return value_of("b") == "1"; }));
     EXPECT_EQ(value_of("a"), "1");
-    EXPECT_TRUE(replica.missing.contains("a"));
+    EXPECT_TRUE(replica.held.contains("a"));
     store.write("a", "1");
-    EXPECT_TRUE(run_until([&] { return replica.missing.empty(); }));
+    EXPECT_TRUE(run_until([&] { return replica.held.empty(); }));
+}
+
+// Guards against a configuration that stays in force although a restored store has a later one: the
+// store assigns lower revisions than the daemon knows again, so that a change there looks outdated.
+// Also guards against a daemon that calls such a store as fast as it answers.
+TEST_F(store_follower_test, a_store_restored_from_a_backup_is_followed)
+{
+    store.write("config", "r10");
+    ASSERT_TRUE(run_until([&] { return value_of("config") == "r10"; }));
+    const auto backup = store.back_up();
+    for (const char* key : {"a", "b", "c", "d"})
+    {
+        store.write(key, "1");
+    }
+    store.write("config", "r11");
+    ASSERT_TRUE(run_until([&] { return value_of("config") == "r11"; }));
+    const std::uint64_t known = replica.revision;
+    const std::size_t calls_before = store.call_count;
+    store.restore(backup);
+    ASSERT_TRUE(run_until([&] { return replica.revision < known; }));
+    EXPECT_EQ(value_of("config"), "r11") << "the backup is older";
+    store.write("config", "r12");
+    ASSERT_LT(store.revision(), known);
+    EXPECT_TRUE(run_until([&] { return value_of("config") == "r12"; }));
+    EXPECT_LE(store.call_count - calls_before, 10U);
+}
+
+// Guards against changes that are missed because the restored store has reached the revision that
+// the daemon knows when its watch arrives, and so answers it.
+TEST_F(store_follower_test, a_restored_store_that_has_reached_the_known_revision_is_read_again)
+{
+    store.write("config", "r10");
+    const auto backup = store.back_up();
+    store.write("config", "r11");
+    ASSERT_TRUE(run_until([&] { return value_of("config") == "r11"; }));
+    const std::uint64_t known = replica.revision;
+    store.restore(backup);
+    store.write("config", "r12");
+    store.write("a", "1");
+    ASSERT_GT(store.revision(), known);
+    EXPECT_TRUE(run_until([&] { return value_of("config") == "r12" && value_of("a") == "1"; }));
 }
 
 // Guards against one call for each change of a burst, since every call to the store has a cost. The
--- a/test/support/store_stand_in.hpp
+++ b/test/support/store_stand_in.hpp
@@ -62,6 +62,40 @@
         events_.push_back({++revision_, key, std::nullopt});
     }
 
+    /// What a backup of the store holds.
+    struct backup
+    {
+        std::map<std::string, std::pair<std::string, std::uint64_t>> items; ///< Values, revisions.
+        std::uint64_t revision = 0;
+    };
+
+    backup back_up() const
+    {
+        backup out = {.revision = revision_};
+        for (const auto& [key, entry] : items_)
+        {
+            out.items[key] = {entry.value, entry.revision};
+        }
+        return out;
+    }
+
+    /// Replaces the content by the backup's and cuts all connections. Revisions since the backup
+    /// are assigned again.
+    void restore(const backup& from)
+    {
+        items_.clear();
+        for (const auto& [key, entry] : from.items)
+        {
+            items_[key] = {entry.first, entry.second};
+        }
+        std::erase_if(events_, [&](const event& entry) { return entry.revision > from.revision; });
+        revision_ = from.revision;
+        ++era_;
+        stand_in::reset_connections(connections_);
+    }
+
+    std::uint64_t revision() const { return revision_; }
+
     /// Discards the change history: watches after an older revision get status 410.
     void compact() { oldest_watch_revision_ = revision_; }
 
@@ -91,6 +125,13 @@
     }
 
     boost::asio::awaitable<stand_in::http_response> handle(stand_in::http_request request)
+    {
+        stand_in::http_response out = co_await answer(std::move(request));
+        out.headers.emplace_back("Store-Era", std::to_string(era_));
+        co_return out;
+    }
+
+    boost::asio::awaitable<stand_in::http_response> answer(stand_in::http_request request)
     {
         ++call_count;
         if (forced_status)
@@ -107,15 +148,15 @@
             static_cast<int>(stand_in::find_number(request.query, "wait-ms").value_or(0.0)));
         const auto deadline = std::chrono::steady_clock::now() + wait;
         boost::asio::steady_timer timer(io_);
-        while (after >= oldest_watch_revision_ && revision_ <= after &&
+        while (after >= oldest_watch_revision_ && revision_ == after &&
                std::chrono::steady_clock::now() < deadline)
         {
             timer.expires_after(std::chrono::milliseconds(1));
             boost::system::error_code ignored;
             co_await timer.async_wait(net::redirect_error_to(ignored));
         }
-        co_return after < oldest_watch_revision_ ? stand_in::json_response(410, "{}")
-                                                 : changes(after);
+        const bool is_known = after >= oldest_watch_revision_ && after <= revision_;
+        co_return is_known ? changes(after) : stand_in::json_response(410, "{}");
     }
 
     stand_in::http_response range(const std::string& after) const
@@ -164,6 +205,7 @@
     std::map<std::string, item> items_;
     std::vector<event> events_;
     std::uint64_t revision_ = 10;
+    std::uint64_t era_ = 1;
     std::uint64_t oldest_watch_revision_ = 0;
 };
 
