--- a/src/model/check_servers.cpp
+++ b/src/model/check_servers.cpp
@@ -29,6 +29,18 @@
                     entry.arrived_at);
 }
 
+// What the store confirms shortly after a restoration may have been lost in it and written again,
+// so it binds nobody until the store has been stable for a while.
+bool is_confirmed_by_stable_store(const history& history, const bounds& bounds,
+                                  core::time_point confirmed_at)
+{
+    return std::none_of(history.store_restorations.begin(), history.store_restorations.end(),
+                        [&](const span& entry) {
+                            return entry.from <= confirmed_at &&
+                                   confirmed_at <= entry.until + bounds.stable;
+                        });
+}
+
 void check_departures(const history& history, const bounds& bounds, const arrival& entry,
                       std::vector<violation>& out)
 {
@@ -36,6 +48,7 @@
     {
         if (left.server == entry.server && left.incarnation == entry.incarnation &&
             entry.arrived_at > left.confirmed_at + bounds.drain &&
+            is_confirmed_by_stable_store(history, bounds, left.confirmed_at) &&
             was_in_touch(history, bounds, entry))
         {
             out.push_back(arrival_violation(
--- a/src/model/history.hpp
+++ b/src/model/history.hpp
@@ -77,7 +77,7 @@
     std::vector<published_configuration> configurations;
     std::vector<departure> departures;
     std::vector<evacuation> evacuations;
-    std::vector<span> store_disturbances;
+    std::vector<span> store_restorations;               ///< From the store's absence to its return.
     std::vector<std::vector<span>> daemon_disturbances; ///< By daemon.
 };
 
--- a/src/model/store.hpp
+++ b/src/model/store.hpp
@@ -47,6 +47,7 @@
 struct store : store_content
 {
     std::uint64_t era = 1;
+    bool away = false;              ///< Until it is restored: nothing gets a response.
     std::vector<bool> out_of_reach; ///< By daemon.
     std::uint64_t next_watch = 0;
     std::vector<waiting_watch> watches;
@@ -65,7 +66,8 @@
 void watch(store& store, event_queue& queue, std::size_t daemon, std::uint64_t after,
            core::duration max_wait, store_reply reply);
 
-/// Replaces the content of the store by that of a backup, and cuts the waiting watches.
+/// Replaces the content of the store by that of a backup, and cuts the waiting watches. The store
+/// is not away any more.
 void restore(store& store, store_content backup);
 
 /// Sets whether the store is out of the daemon's reach. Its waiting watches get no reply then.
