Store follower: an entry missing after a short outage was removed

Cause: a full read that came more than 1.5 s after the last contact took the store to have been down, and kept missing entries for another 2.3 s. A watch without an answer ends after 1.3 s and the read follows 0.2 s later, so a hub that was turned away for a moment always got there, and its subscribers, for which it counts as current for 1.8 s, kept what it kept.

Change: the entry of a live server expires three heartbeat intervals after its last heartbeat, which came at most one interval before the outage. So an outage of less than two intervals expires no live server's entry, and one that is missing then was removed.

The earlier test of the grace time runs with a heartbeat of 0.7 s, so that its outage of 2 s still counts as one.

Ruled out: that short outages in which the platform lets entries lapse lose live servers.

--- a/test/correctness/platform/store_follower_test.cpp
+++ b/test/correctness/platform/store_follower_test.cpp
@@ -14,16 +14,16 @@
 using namespace std::chrono_literals;
 
 // Keeps the follower alive as long as its coroutine runs.
-boost::asio::awaitable<void> follow(net::follow_context context, std::string address,
+boost::asio::awaitable<void> follow(net::follow_context context, store_options options,
                                     std::uint64_t& call_count)
 {
-    store_follower follower(std::move(context), {.address = std::move(address)}, call_count);
+    store_follower follower(std::move(context), std::move(options), call_count);
     co_await follower.run();
 }
 
 struct store_follower_test : testing::Test
 {
-    store_follower_test()
+    explicit store_follower_test(core::duration heartbeat_interval = 700ms)
     {
         net::follow_context context = {.io = io,
                                        .replica = replica,
@@ -34,7 +34,9 @@
                                        {
                                            return true;
                                        }};
-        boost::asio::co_spawn(io, follow(std::move(context), store.address(), call_count),
+        const store_options options = {.address = store.address(),
+                                       .heartbeat_interval = heartbeat_interval};
+        boost::asio::co_spawn(io, follow(std::move(context), options, call_count),
                               boost::asio::detached);
     }
     ~store_follower_test() override
@@ -119,6 +121,33 @@
     EXPECT_TRUE(run_until([&] { return replica.held.empty(); }));
 }
 
+struct store_follower_with_long_heartbeat_test : store_follower_test
+{
+    store_follower_with_long_heartbeat_test() : store_follower_test(1500ms) {}
+};
+
+// Guards against a server that is used for seconds after its entry was removed, because the store
+// turned this daemon away meanwhile. The entry of a live server outlasts an outage shorter than two
+// heartbeat intervals, so one that is missing after it was removed.
+TEST_F(store_follower_with_long_heartbeat_test,
+       an_entry_removed_in_a_short_outage_is_removed_at_once)
+{
+    store.write("a", "1");
+    store.write("b", "1");
+    ASSERT_TRUE(run_until([&] { return replica.entries.size() == 2; }));
+    store.forced_status = 503;
+    const auto age = [&]
+    {
+        return core::boot_clock_now() - replica.current_as_of;
+    };
+    ASSERT_TRUE(run_until([&] { return age() > 2s; }));
+    store.remove("a");
+    store.forced_status.reset();
+    ASSERT_TRUE(run_until([&] { return age() < 1s; }));
+    EXPECT_EQ(value_of("a"), "none");
+    EXPECT_EQ(value_of("b"), "1");
+}
+
 // Guards against a configuration that stays in force although a restored store has a later one: the
 // store assigns lower revisions than the daemon knows again, so that a change there looks outdated.
 // Also guards against a daemon that calls such a store as fast as it answers.
