--- a/apps/crowd_check.cpp
+++ b/apps/crowd_check.cpp
@@ -4,6 +4,7 @@
 /// Prints "case NAME: pass" or "case NAME: fail REASON" for each case, and "N passed, N failed" as
 /// the last line. Nothing that is checked depends on the machine's speed.
 #include "core/command_line.hpp"
+#include "test/support/daemon_process.hpp"
 #include "test/support/store_stand_in.hpp"
 
 #include <boost/asio/connect.hpp>
@@ -13,17 +14,11 @@
 #include <spdlog/fmt/fmt.h>
 
 #include <atomic>
-#include <csignal>
 #include <cstdio>
-#include <filesystem>
-#include <fstream>
+#include <sstream>
 #include <thread>
 
-#include <fcntl.h>
-#include <sys/prctl.h>
 #include <sys/socket.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 namespace
 {
@@ -54,25 +49,6 @@
 constexpr seconds client_patience{12};
 constexpr std::string_view key = "crowd-key";
 
-// A directory that is removed at the end.
-struct temporary_folder
-{
-    temporary_folder()
-        : path(fs::temp_directory_path() / fmt::format("crowd-{}-{}", ::getpid(), ++count))
-    {
-        fs::create_directories(path);
-    }
-    ~temporary_folder()
-    {
-        std::error_code ignored;
-        fs::remove_all(path, ignored);
-    }
-    temporary_folder(const temporary_folder&) = delete;
-    temporary_folder& operator=(const temporary_folder&) = delete;
-    fs::path path;
-    static inline int count = 0;
-};
-
 asio::awaitable<stand_in::http_response> respond(stand_in::http_request request)
 {
     const bool is_large = request.path == "/crowd/large";
@@ -139,51 +115,23 @@
     std::thread thread_;
 };
 
-std::uint16_t free_port()
-{
-    asio::io_context io;
-    const tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
-    return acceptor.local_endpoint().port();
-}
-
-// A daemon of the platform; it is ended by its process id.
-class daemon_process
+// A daemon with low limits.
+class limited_daemon
 {
 public:
-    daemon_process(const std::string& program, const fs::path& folder,
+    limited_daemon(const std::string& program, const fs::path& folder,
                    const std::string& store_address)
-        : front_(asio::ip::make_address("127.0.0.1"), free_port())
+        : front_(asio::ip::make_address("127.0.0.1"), test_support::free_port()),
+          process_(program, folder, settings(store_address))
     {
-        const fs::path settings = folder / "settings.json";
-        write_settings(settings, store_address);
-        const std::string variable = "ZINNIAFERRY_SETTINGS=" + settings.string();
-        pid_ = ::fork();
-        if (pid_ == 0)
-        {
-            run(program, variable, folder / "daemon.log");
-        }
-    }
-    ~daemon_process()
-    {
-        if (alive())
-        {
-            ::kill(pid_, SIGKILL);
-            ::waitpid(pid_, nullptr, 0);
-        }
     }
-    daemon_process(const daemon_process&) = delete;
-    daemon_process& operator=(const daemon_process&) = delete;
 
-    bool alive()
-    {
-        running_ = running_ && ::waitpid(pid_, nullptr, WNOHANG) == 0;
-        return running_;
-    }
+    bool alive() { return process_.alive(); }
 
     // Largest resident memory so far.
     double peak_mb() const
     {
-        std::ifstream status(fmt::format("/proc/{}/status", pid_));
+        std::ifstream status(fmt::format("/proc/{}/status", process_.pid()));
         std::string line;
         while (std::getline(status, line))
         {
@@ -200,7 +148,7 @@
     {
         std::error_code error;
         std::size_t count = 0;
-        for (fs::directory_iterator entry(fmt::format("/proc/{}/fd", pid_), error), end;
+        for (fs::directory_iterator entry(fmt::format("/proc/{}/fd", process_.pid()), error), end;
              !error && entry != end; entry.increment(error))
         {
             std::error_code gone;
@@ -213,37 +161,22 @@
     tcp::endpoint front() const { return front_; }
 
 private:
-    void write_settings(const fs::path& file, const std::string& store_address) const
+    std::string settings(const std::string& store_address) const
     {
-        const std::string ready = fmt::format("127.0.0.1:{}", free_port());
-        const std::string control = fmt::format("127.0.0.1:{}", free_port());
-        std::ofstream out(file);
+        const std::string ready = fmt::format("127.0.0.1:{}", test_support::free_port());
+        const std::string control = fmt::format("127.0.0.1:{}", test_support::free_port());
+        std::ostringstream out;
         out << R"({"node":"front-1","role":"ferry","ip":"127.0.0.1","zone":"z","listen":{"front":")"
             << "127.0.0.1:" << front_.port() << R"(","ready":")" << ready << R"(","control":")"
             << control << R"("},"seeds":[")" << control << R"("],"limits":{"memory-mb":)"
             << memory_limit_mb << R"(,"max-fds":)" << max_descriptors
             << R"(,"link-mbps":1000.0},"bounds":["grace-s=6"],"provider":{"address":")"
             << store_address << R"("}})";
-    }
-
-    [[noreturn]] static void run(const std::string& program, const std::string& variable,
-                                 const fs::path& log)
-    {
-        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-        const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-        ::dup2(out, STDOUT_FILENO);
-        ::dup2(out, STDERR_FILENO);
-        std::string name = program;
-        std::string settings = variable;
-        std::array<char*, 2> arguments = {name.data(), nullptr};
-        std::array<char*, 2> environment = {settings.data(), nullptr};
-        ::execve(program.c_str(), arguments.data(), environment.data());
-        ::_exit(127);
+        return out.str();
     }
 
     tcp::endpoint front_;
-    pid_t pid_ = -1;
-    bool running_ = true;
+    test_support::daemon_process process_;
 };
 
 // A client with blocking operations that fail after `client_patience`.
@@ -416,7 +349,7 @@
     crowd act;
 };
 
-bool wait_until_served(daemon_process& daemon)
+bool wait_until_served(limited_daemon& daemon)
 {
     const auto until = steady_clock::now() + seconds(30);
     while (daemon.alive() && steady_clock::now() < until)
@@ -433,9 +366,9 @@
 // Returns why the case fails, empty if it passes.
 std::string run_case(const crowd_case& which, const std::string& program)
 {
-    const temporary_folder folder;
+    const test_support::temporary_folder folder("crowd");
     const stand_ins servers;
-    daemon_process daemon(program, folder.path, servers.store_address());
+    limited_daemon daemon(program, folder.path, servers.store_address());
     if (!wait_until_served(daemon))
     {
         return "the daemon did not begin to serve";
