--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -431,6 +431,7 @@
     {
         return print_metrics(gateway_, {.caller_connections = sessions_.open_count,
                                         .platform_calls = adapter_.call_count(),
+                                        .store_era = replica_.era.value_or(0),
                                         .replica_revision = replica_.revision,
                                         .peer_bytes_in = links_.counters().bytes_in,
                                         .peer_bytes_out = links_.counters().bytes_out,
@@ -446,7 +447,8 @@
         out["process_state"] = to_string(lifecycle_.state());
         out["caller_connections"] = sessions_.open_count;
         out["peers"] = links_.dump();
-        out["replica"] = {{"revision", replica_.revision},
+        out["replica"] = {{"era", replica_.era.value_or(0)},
+                          {"revision", replica_.revision},
                           {"entries", replica_.entries.size()},
                           {"held", replica_.held.size()},
                           {"age_ms", core::to_milliseconds(now - replica_.current_as_of)}};
--- a/src/net/gateway_metrics.cpp
+++ b/src/net/gateway_metrics.cpp
@@ -136,6 +136,8 @@
           number(daemon.caller_connections));
     print(out, "gauge", "zinnia_configuration_version", "Version in force; 0 for none.",
           gateway.configuration ? number(gateway.configuration->config->version) : 0.0);
+    print(out, "gauge", "zinnia_store_era", "Restorations of the store, as it numbers them.",
+          number(daemon.store_era));
     print(out, "gauge", "zinnia_replica_revision", "Revision of the store that is known.",
           number(daemon.replica_revision));
     print(out, "counter", "zinnia_not_admitted_total", "Requests rejected at their arrival.",
--- a/src/net/gateway_metrics.hpp
+++ b/src/net/gateway_metrics.hpp
@@ -13,6 +13,7 @@
 {
     std::size_t caller_connections = 0; ///< Open now.
     std::uint64_t platform_calls = 0;
+    std::uint64_t store_era = 0; ///< Of the revision; 0 for none.
     std::uint64_t replica_revision = 0;
     std::uint64_t peer_bytes_in = 0;      ///< Received from other daemons.
     std::uint64_t peer_bytes_out = 0;     ///< Sent to other daemons.
