--- a/test/correctness/platform/decode_test.cpp
+++ b/test/correctness/platform/decode_test.cpp
@@ -115,7 +115,13 @@
              {"1700000000000", "1700000000000.5"},
              {"1700000000000", "\"1700000000000\""},
              {"{\"address\"", "[\"address\""},
-             {"\"status\":{", "\"state\":{"}})
+             {"\"status\":{", "\"state\":{"},
+             {"\"version\":\"v1\",", ""},
+             {"\"version\":\"v1\"", "\"version\":1"},
+             {"\"seq\":4,", ""},
+             {"\"seq\":4", "\"seq\":\"4\""},
+             {",\"warmup-left-s\":1.5", ""},
+             {"\"warmup-left-s\":1.5", "\"warmup-left-s\":null"}})
     {
         EXPECT_FALSE(decode_server("servers/i-1", replaced(valid, from, to))) << to;
     }
