--- a/src/fleet/hub_messages.cpp
+++ b/src/fleet/hub_messages.cpp
@@ -225,6 +225,8 @@
                            .primary_time = read_time(message.getAsk().getPrimaryTimeUs())};
     case wire::HubMessage::GRANT:
         return read_grant(message.getGrant());
+    case wire::HubMessage::COMPRESSED:
+        break; // Only the outermost message may be compressed.
     }
     throw KJ_EXCEPTION(FAILED, "unknown type of hub message");
 }
