Restore check: parts in test/support, and writers that write again what they wrote last

The store with its writers, and the entries, servers and requests, are in files of their own now.

Each writer now writes again what it wrote last.

--- a/apps/restore_check.cpp
+++ b/apps/restore_check.cpp
@@ -5,20 +5,16 @@
 /// Prints the violations and a summary of each run; exit code 1: there were violations. It depends
 /// on the machine's speed, so it is run by hand.
 #include "model/checks.hpp"
-#include "net/await_error.hpp"
 #include "platform/decode.hpp"
 #include "stand_in/program.hpp"
 #include "test/support/daemon_process.hpp"
-#include "test/support/store_stand_in.hpp"
+#include "test/support/platform_entries.hpp"
+#include "test/support/restorable_store.hpp"
 
-#include <boost/asio/connect.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <cxxopts.hpp>
 
 #include <algorithm>
 #include <cstdio>
-#include <deque>
 
 namespace
 {
@@ -26,8 +22,8 @@
 namespace asio = boost::asio;
 using namespace zinniaferry;
 using namespace std::chrono_literals;
-using asio::ip::tcp;
 using core::boot_clock_now;
+using test_support::listed_server;
 
 /// Time in which the daemons find each other before the disturbances begin.
 constexpr core::duration calm_time = 5s;
@@ -35,16 +31,10 @@
 constexpr core::duration longest_pause = 5s;
 constexpr core::duration request_interval = 60ms; ///< Of each daemon's caller.
 constexpr core::duration work_time = 3ms;
-constexpr core::duration heartbeat_interval = 1500ms;
-constexpr core::duration entry_lifetime = 3 * heartbeat_interval;
 /// A server that leaves serves for so long after its entry says so.
 constexpr core::duration leaving_time = 4s;
-constexpr core::duration backup_interval = 400ms;
-constexpr std::size_t max_backups = 15;
 constexpr std::size_t servers_per_service = 10;
-constexpr std::array services = {"orarend", "jovahagyas"};
-constexpr const char* account = "school";
-constexpr const char* lasting_key = "lasting-key";
+constexpr std::size_t max_seeds = 3;
 
 struct run_options
 {
@@ -57,87 +47,11 @@
     std::uint16_t first_port = 27000;
 };
 
-std::string passing_key(std::size_t version)
-{
-    return fmt::format("key-{}", version);
-}
-
-std::string passing_path(std::size_t version)
-{
-    return fmt::format("/version/{}/", version);
-}
-
-std::string route_text(const std::string& prefix, const std::string& service)
-{
-    return fmt::format(
-        R"({{"name":"{0}","host":"","prefix":"{0}","kind":"safe","timeout-s":3,"slo-s":1,)"
-        R"("priority":1,"service":"{1}","attempts":2,"no-auth":false}})",
-        prefix, service);
-}
-
-// Each version moves a route to the other service, and adds and drops a route and a key.
-std::string configuration_text(std::size_t index)
-{
-    std::string routes = route_text("/keep/", services[0]) + "," +
-                         route_text("/flip/", services[index % services.size()]);
-    std::string keys = fmt::format(R"("{}")", lasting_key);
-    for (std::size_t version = index > 0 ? index - 1 : 0; version <= index; ++version)
-    {
-        routes += "," + route_text(passing_path(version), services[0]);
-        keys += fmt::format(R"(,"{}")", passing_key(version));
-    }
-    std::string listed;
-    for (const char* name : services)
-    {
-        listed += fmt::format(R"({}{{"name":"{}","health-path":"/health","max-conns":260,)"
-                              R"("warmup-s":3.0,"warmup-per-s":50.0}})",
-                              listed.empty() ? "" : ",", name);
-    }
-    return fmt::format(
-        R"({{"version":"r{}","routes":[{}],"services":[{}],"limits":{{"header-bytes":16384,)"
-        R"("body-bytes":1048576,"header-timeout-s":10,"idle-timeout-s":15}},"tenants":[{{)"
-        R"("name":"{}","api-keys":[{}],"priority":1,"rate-per-s":0,"burst":0}}]}})",
-        index + 1, routes, listed, account, keys);
-}
-
-/// A backend server with a listener of its own.
-struct server
-{
-    server(asio::io_context& io, std::string server_id, std::string server_service)
-        : id(std::move(server_id)), service(std::move(server_service)),
-          acceptor(io, {asio::ip::make_address("127.0.0.1"), 0}),
-          port(acceptor.local_endpoint().port())
-    {
-    }
-
-    std::string key() const { return "servers/" + id; }
-
-    std::string entry() const
-    {
-        return fmt::format(
-            R"({{"address":"127.0.0.1:{}","born":1,"info":{{"service":"{}","version":"v1",)"
-            R"("zone":"z","slots":16}},"status":{{"state":"{}","seq":{},"warmup-left-s":{}}}}})",
-            port, service, is_leaving ? "draining" : "ready", sequence,
-            core::to_seconds(warmup_left));
-    }
-
-    std::string id;
-    std::string service;
-    tcp::acceptor acceptor;
-    std::uint16_t port;
-    stand_in::connection_set connections;
-    bool is_leaving = false;
-    core::duration warmup_left{};
-    std::uint64_t sequence = 1;
-};
-
 /// A daemon with the addresses that it keeps over restarts.
 struct fleet_member
 {
     test_support::temporary_folder folder{"restore"};
-    std::uint16_t front = 0;
-    std::uint16_t ready = 0;
-    std::uint16_t control = 0;
+    test_support::daemon_ports ports;
     std::unique_ptr<test_support::daemon_process> process;
     std::uint64_t starts = 0;
 };
@@ -154,9 +68,7 @@
         for (std::size_t i = 0; i < options_.daemons; ++i)
         {
             fleet_member& member = *members_.emplace_back(std::make_unique<fleet_member>());
-            member.front = port++;
-            member.ready = port++;
-            member.control = port++;
+            member.ports = {.front = port++, .ready = port++, .control = port++};
         }
     }
 
@@ -181,7 +93,7 @@
     // Returns the number of violations.
     std::size_t run()
     {
-        for (const char* service : services)
+        for (const char* service : test_support::services)
         {
             for (std::size_t i = 0; i < servers_per_service; ++i)
             {
@@ -193,7 +105,6 @@
         {
             start(i);
         }
-        spawn(take_backups());
         spawn(disturb());
         for (std::size_t i = 0; i < members_.size(); ++i)
         {
@@ -234,19 +145,14 @@
 
     std::string settings_of(std::size_t index) const
     {
-        const fleet_member& member = *members_[index];
         std::string seeds;
-        for (std::size_t i = 0; i < std::min<std::size_t>(3, members_.size()); ++i)
+        for (std::size_t i = 0; i < std::min(max_seeds, members_.size()); ++i)
         {
-            seeds +=
-                fmt::format(R"({}"127.0.0.1:{}")", seeds.empty() ? "" : ",", members_[i]->control);
+            seeds += fmt::format(R"({}"127.0.0.1:{}")", seeds.empty() ? "" : ",",
+                                 members_[i]->ports.control);
         }
-        return fmt::format(
-            R"({{"node":"front-{}","role":"ferry","ip":"127.0.0.1","zone":"z","listen":{{)"
-            R"("front":"127.0.0.1:{}","ready":"127.0.0.1:{}","control":"127.0.0.1:{}"}},)"
-            R"("seeds":[{}],"heartbeat-s":1.5,"limits":{{"memory-mb":260,"max-fds":4100,)"
-            R"("link-mbps":1000.0}},"bounds":["grace-s=6"],"provider":{{"address":"{}"}}}})",
-            index + 1, member.front, member.ready, member.control, seeds, store_.address());
+        return test_support::settings_text(fmt::format("front-{}", index + 1),
+                                           members_[index]->ports, seeds, store_.address());
     }
 
     void start(std::size_t index)
@@ -271,96 +177,61 @@
         }
     }
 
-    bool is_store_up() const { return !store_.forced_status; }
-
-    // Writes now, or as soon as the store is up.
-    void write(const std::string& key, std::function<std::optional<std::string>()> value)
-    {
-        if (!is_store_up())
-        {
-            after(100ms, [this, key, value] { write(key, value); });
-            return;
-        }
-        const auto text = value();
-        text ? store_.write(key, *text) : store_.remove(key);
-        written_since_restoration_.insert(key);
-    }
-
     void publish()
     {
-        write("op/config",
-              [this]
-              {
-                  const std::size_t index = history_.configurations.size();
-                  const std::string text = configuration_text(index);
-                  const auto decoded = platform::decode_configuration(text);
-                  history_.configurations.push_back(
-                      {std::make_shared<const config::configuration_index>(
-                           config::make_configuration_index(decoded)),
-                       boot_clock_now()});
-                  return std::optional(text);
-              });
+        store_.write("op/config",
+                     [this]
+                     {
+                         const std::size_t index = history_.configurations.size();
+                         const std::string text = test_support::configuration_text(index);
+                         const auto decoded = platform::decode_configuration(text);
+                         history_.configurations.push_back(
+                             {std::make_shared<const config::configuration_index>(
+                                  config::make_configuration_index(decoded)),
+                              boot_clock_now()});
+                         return std::optional(text);
+                     });
     }
 
-    server& add_server(const std::string& service, core::duration warmup_left = {})
+    listed_server& add_server(const std::string& service, core::duration warmup_left = {})
     {
-        server& added = *servers_.emplace_back(std::make_unique<server>(
+        listed_server& added = *servers_.emplace_back(std::make_unique<listed_server>(
             io_, fmt::format("i-{}-{}", service, servers_.size()), service));
         added.warmup_left = warmup_left;
         spawn(stand_in::serve(
             added.acceptor,
-            [this,
-             &added](stand_in::http_request request) -> asio::awaitable<stand_in::http_response>
-            { return respond(added, std::move(request)); },
+            [this, &added](stand_in::http_request request)
+            {
+                return test_support::respond(
+                    added, std::move(request), work_time,
+                    [this, &added](const std::string& id, const std::string& stated_account)
+                    { record_arrival(added, std::stoull(id), stated_account); });
+            },
             added.connections));
-        write(added.key(), [&added] { return std::optional(added.entry()); });
+        store_.write(added.key(), [&added] { return std::optional(added.entry()); });
         return added;
     }
 
-    static void stop(server& ended)
+    static void stop(listed_server& ended)
     {
         boost::system::error_code ignored;
         ended.acceptor.close(ignored);
         stand_in::reset_connections(ended.connections);
     }
 
-    asio::awaitable<stand_in::http_response> respond(server& own, stand_in::http_request request)
+    void record_arrival(const listed_server& own, std::uint64_t request,
+                        const std::string& stated_account)
     {
-        const auto value = [&](std::string_view name)
-        {
-            return stand_in::find_value(request.headers, name);
-        };
-        stand_in::http_response out;
-        out.headers = {{"X-Zinniaferry-Instance-Load", "0,0,16,100"}, {"Keep-Alive", "timeout=10"}};
-        if (request.path == "/health")
-        {
-            out.headers.emplace_back("X-Zinniaferry-Instance-Id", own.id);
-            co_return out;
-        }
-        const std::string id = value("x-zinniaferry-request-id");
-        out.headers.emplace_back("X-Zinniaferry-Request-Id", id);
-        const std::string expected = value("x-zinniaferry-expect-instance");
-        if (!expected.empty() && expected != own.id)
-        {
-            out.headers.emplace_back("X-Zinniaferry-Not-Executed", "1");
-            out.status = 421;
-            co_return out;
-        }
-        const std::uint64_t request_number = std::stoull(id);
-        history_.arrivals.push_back({.request = request_number,
-                                     .daemon = history_.requests[request_number].daemon,
+        history_.arrivals.push_back({.request = request,
+                                     .daemon = history_.requests[request].daemon,
                                      .server = own.id,
                                      .incarnation = 1,
                                      .service = own.service,
                                      .data_centre = "z",
-                                     .account = value("x-zinniaferry-tenant"),
+                                     .account = stated_account,
                                      .sent_at = boot_clock_now(),
                                      .arrived_at = boot_clock_now(),
                                      .ran = true});
-        co_await pause(work_time);
-        out.headers.emplace_back("X-Zinniaferry-Response-Signature", "1." + id);
-        out.body = "done";
-        co_return out;
     }
 
     // Chooses among the last four versions, so that some have been replaced.
@@ -370,8 +241,10 @@
         const std::size_t version =
             count - 1 - core::uniform_index(random_, std::min<std::size_t>(count, 4));
         const double kind = core::uniform(random_);
-        record.path = kind < 0.3 ? "/keep/1" : kind < 0.7 ? "/flip/1" : passing_path(version) + "1";
-        record.key = kind < 0.3 ? passing_key(version) : lasting_key;
+        record.path = kind < 0.3   ? "/keep/1"
+                      : kind < 0.7 ? "/flip/1"
+                                   : test_support::passing_path(version) + "1";
+        record.key = kind < 0.3 ? test_support::passing_key(version) : test_support::lasting_key;
     }
 
     asio::awaitable<void> call(std::size_t daemon)
@@ -394,54 +267,20 @@
     asio::awaitable<void> send(std::uint64_t number)
     {
         const model::request_record record = history_.requests[number];
-        const std::string text = fmt::format(
-            "GET {} HTTP/1.1\r\nHost: school.example\r\nX-Zinniaferry-Request-Id: {}\r\n"
-            "X-Zinniaferry-Timeout-Remaining: 2500\r\nAuthorization: Bearer {}\r\n"
-            "Connection: close\r\n\r\n",
-            record.path, number, record.key);
-        tcp::socket socket(io_);
-        boost::system::error_code error;
-        co_await socket.async_connect(
-            {asio::ip::make_address("127.0.0.1"), members_[record.daemon]->front},
-            net::redirect_error_to(error));
-        if (!error)
-        {
-            co_await asio::async_write(socket, asio::buffer(text), net::redirect_error_to(error));
-        }
-        std::string line;
-        if (!error)
-        {
-            co_await asio::async_read_until(socket, asio::dynamic_buffer(line), "\r\n",
-                                            net::redirect_error_to(error));
-        }
-        if (!error && line.size() > 12)
+        const std::string text =
+            test_support::request_text(record.path, std::to_string(number), record.key);
+        const auto status =
+            co_await test_support::send_request(members_[record.daemon]->ports.front, text);
+        if (status)
         {
-            history_.requests[number].status =
-                static_cast<unsigned>(std::strtoul(line.c_str() + 9, nullptr, 10));
+            history_.requests[number].status = *status;
             history_.requests[number].answered_at = boot_clock_now();
         }
     }
 
-    asio::awaitable<void> take_backups()
-    {
-        while (!is_over_)
-        {
-            if (is_store_up())
-            {
-                backups_.push_back(store_.back_up());
-            }
-            if (backups_.size() > max_backups)
-            {
-                backups_.pop_front();
-            }
-            co_await pause(backup_interval);
-        }
-    }
-
-    // The store answers nothing but refusals for a time, and may come back from a backup.
     void interrupt_store(core::duration time, bool is_restored)
     {
-        if (!is_store_up())
+        if (!store_.is_up())
         {
             return;
         }
@@ -451,68 +290,12 @@
             const core::time_point now = boot_clock_now();
             history_.store_restorations.push_back({now, now + time});
         }
-        store_.forced_status = 503;
-        after(time,
-              [this, is_restored]
-              {
-                  store_.forced_status.reset();
-                  if (is_restored)
-                  {
-                      restore();
-                  }
-              });
-    }
-
-    void restore()
-    {
-        const auto lost = store_.back_up();
-        const auto backup = backups_[core::uniform_index(random_, backups_.size())];
-        // A later backup holds what is lost now.
-        std::erase_if(backups_,
-                      [&](const auto& entry) { return entry.revision > backup.revision; });
-        store_.restore(backup);
-        ++restorations_;
-        written_since_restoration_.clear();
-        std::set<std::string> keys;
-        for (const auto& [key, item] : lost.items)
-        {
-            const auto kept = backup.items.find(key);
-            if (kept == backup.items.end() || kept->second.first != item.first)
-            {
-                keys.insert(key);
-                write_again(key, item.first);
-            }
-        }
-        for (const auto& [key, item] : backup.items)
-        {
-            if (!lost.items.contains(key))
-            {
-                write_again(key, std::nullopt);
-            }
-        }
-    }
-
-    // The operator writes at once, a server with its next heartbeat; the entry of one that has left
-    // expires.
-    void write_again(const std::string& key, const std::optional<std::string>& value)
-    {
-        const core::duration delay = key == "op/config" ? 50ms
-                                     : value            ? between(0s, heartbeat_interval)
-                                                        : entry_lifetime;
-        const std::size_t restoration = restorations_;
-        after(delay,
-              [this, key, value, restoration]
-              {
-                  if (restoration == restorations_ && !written_since_restoration_.contains(key))
-                  {
-                      write(key, [value] { return value; });
-                  }
-              });
+        store_.interrupt(time, is_restored);
     }
 
     void replace_server()
     {
-        std::vector<server*> listed;
+        std::vector<listed_server*> listed;
         for (const auto& entry : servers_)
         {
             if (!entry->is_leaving)
@@ -520,38 +303,38 @@
                 listed.push_back(entry.get());
             }
         }
-        server& old = *listed[core::uniform_index(random_, listed.size())];
-        warm_up(add_server(old.service, 2 * heartbeat_interval));
+        listed_server& old = *listed[core::uniform_index(random_, listed.size())];
+        warm_up(add_server(old.service, 2 * test_support::heartbeat_interval));
         old.is_leaving = true;
         ++old.sequence;
-        write(old.key(),
-              [this, &old]
-              {
-                  history_.departures.push_back({old.id, 1, boot_clock_now()});
-                  return std::optional(old.entry());
-              });
+        store_.write(old.key(),
+                     [this, &old]
+                     {
+                         history_.departures.push_back({old.id, 1, boot_clock_now()});
+                         return std::optional(old.entry());
+                     });
         after(leaving_time,
               [this, &old]
               {
-                  write(old.key(), [] { return std::optional<std::string>(); });
+                  store_.write(old.key(), [] { return std::optional<std::string>(); });
                   after(leaving_time, [&old] { stop(old); });
               });
     }
 
     // A server that has started is cold, and states with each heartbeat for how long.
-    void warm_up(server& started)
+    void warm_up(listed_server& started)
     {
         for (int beats = 1; beats <= 2; ++beats)
         {
-            after(beats * heartbeat_interval,
+            after(beats * test_support::heartbeat_interval,
                   [this, &started]
                   {
-                      started.warmup_left -= heartbeat_interval;
+                      started.warmup_left -= test_support::heartbeat_interval;
                       ++started.sequence;
-                      if (is_store_up())
+                      if (store_.is_up())
                       {
-                          write(started.key(),
-                                [&started] { return std::optional(started.entry()); });
+                          store_.write(started.key(),
+                                       [&started] { return std::optional(started.entry()); });
                       }
                   });
         }
@@ -643,8 +426,8 @@
         std::printf("seed %llu: %zu violations; %zu requests, %td served, %zu versions, "
                     "%zu restorations, %zu calls to the store\n",
                     static_cast<unsigned long long>(options_.seed), found.size(),
-                    history_.requests.size(), served, history_.configurations.size(), restorations_,
-                    store_.call_count);
+                    history_.requests.size(), served, history_.configurations.size(),
+                    store_.restorations(), store_.calls());
         keep_logs();
         return found.size();
     }
@@ -665,13 +448,10 @@
     run_options options_;
     core::random_generator random_;
     asio::io_context io_{1};
-    test_support::store_stand_in store_{io_};
+    test_support::restorable_store store_{io_, random_};
     model::history history_;
-    std::vector<std::unique_ptr<server>> servers_;
+    std::vector<std::unique_ptr<listed_server>> servers_;
     std::vector<std::unique_ptr<fleet_member>> members_;
-    std::deque<test_support::store_stand_in::backup> backups_;
-    std::set<std::string> written_since_restoration_;
-    std::size_t restorations_ = 0;
     bool is_over_ = false;
 };
 
