--- a/test/support/restorable_store.hpp
+++ b/test/support/restorable_store.hpp
@@ -40,7 +40,7 @@
     bool is_up() const { return !store_.forced_status; }
 
     /// Writes what `value` returns, a removal for nothing, now or as soon as the store is up.
-    void write(const std::string& key, std::function<std::optional<std::string>()> value)
+    void write(const std::string& key, const std::function<std::optional<std::string>()>& value)
     {
         if (!is_up())
         {
@@ -85,7 +85,7 @@
     static constexpr core::duration backup_interval = std::chrono::milliseconds(400);
     static constexpr std::size_t max_backups = 15;
 
-    void after(core::duration delay, std::function<void()> action)
+    void after(core::duration delay, const std::function<void()>& action)
     {
         const auto timer = std::make_shared<boost::asio::steady_timer>(io_, delay);
         timer->async_wait(
