--- /dev/null
+++ b/review/12/case.cpp
@@ -0,0 +1,13 @@
+/// The settings name one seed. Its machine is cut off from the other daemons and starts again: it
+/// is most of the seeds by itself and takes itself for the whole fleet.
+#include "../cut_seeds_3.hpp"
+
+int main()
+{
+    // The tenant sends 240 requests a second, 6 times its rate.
+    review::play_cut_seeds({.number = 12,
+                            .daemon_count = 4,
+                            .seed_count = 1,
+                            .cut_count = 1,
+                            .requests_per_client_s = 15.0});
+}
