--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -5,10 +5,5 @@
 
 int main()
 {
-    // The tenant sends 240 requests a second, 6 times its rate.
-    review::play_cut_seeds({.number = 11,
-                            .daemon_count = 6,
-                            .seed_count = 3,
-                            .cut_count = 2,
-                            .requests_per_client_s = 10.0});
+    review::play_cut_seeds({.number = 11, .daemon_count = 6, .seed_count = 3, .cut_count = 2});
 }
--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -4,10 +4,5 @@
 
 int main()
 {
-    // The tenant sends 240 requests a second, 6 times its rate.
-    review::play_cut_seeds({.number = 12,
-                            .daemon_count = 4,
-                            .seed_count = 1,
-                            .cut_count = 1,
-                            .requests_per_client_s = 15.0});
+    review::play_cut_seeds({.number = 12, .daemon_count = 4, .seed_count = 1, .cut_count = 1});
 }
--- a/review/cut_seeds_3.hpp
+++ b/review/cut_seeds_3.hpp
@@ -17,7 +17,6 @@
     std::size_t daemon_count = 0;
     std::size_t seed_count = 0; ///< The first daemons.
     std::size_t cut_count = 0;  ///< The first daemons, at most seed_count.
-    double requests_per_client_s = 0.0;
 };
 
 inline constexpr int rate = 40;
@@ -27,8 +26,13 @@
 inline constexpr double bound =
     (rate * quota_window_s + burst) * (1.0 + quota_overage) + quota_slack;
 inline constexpr std::size_t clients_per_daemon = 4;
+/// The tenant's usual requests a second: its rate divided by `quota_x` (1.6) of the site.
+inline constexpr double usual_per_s = rate / 1.6;
+inline constexpr double storm_per_s = usual_per_s * 7.5; // `hot_tenant`: x 7.5 for 6.5 s.
+inline constexpr double storm_s = 6.5;
+inline constexpr double storm_after_cut_s = 4.7;
 inline constexpr double cut_s = 12.0;
-inline constexpr double traffic_s = 30.0;
+inline constexpr double traffic_s = 15.0;
 inline constexpr int limit_ms = 1500;
 
 struct sent_request
@@ -89,7 +93,8 @@
 /// could not run.
 [[noreturn]] inline void play_cut_seeds(const cut_seeds_options& options)
 {
-    const auto [number, daemon_count, seed_count, cut_count, requests_per_client_s] = options;
+    const auto [number, daemon_count, seed_count, cut_count] = options;
+    const double client_count = static_cast<double>(daemon_count * clients_per_daemon);
     record out("review/" + std::to_string(number) + "/record.txt");
     const std::string folder = temporary_folder();
     store store(loopback_ip(2));
@@ -150,6 +155,7 @@
     }
     sleep_s(6.0);
     std::atomic<bool> over{false};
+    std::atomic<double> storm_from{1e9};
     std::mutex mutex;
     std::vector<sent_request> all;
     std::vector<std::thread> clients;
@@ -159,11 +165,18 @@
             [&, index = i % daemon_count]
             {
                 connection to;
-                double next = now_s();
+                double last = now_s();
                 while (!over)
                 {
-                    next = std::max(next + 1.0 / requests_per_client_s, now_s() - 1.0);
-                    sleep_s(next - now_s());
+                    const double now = now_s();
+                    const bool in_storm = now >= storm_from && now < storm_from + storm_s;
+                    const double due = last + client_count / (in_storm ? storm_per_s : usual_per_s);
+                    if (now < due)
+                    {
+                        sleep_s(std::min(due - now, 0.02));
+                        continue;
+                    }
+                    last = std::max(due, now - 0.1);
                     if (!to.open())
                     {
                         to = connect_to(daemons[index]->front(), 0.5);
@@ -187,8 +200,9 @@
             });
     }
     const double traffic_from = now_s();
-    sleep_s(7.0);
+    sleep_s(2.0);
     const double cut_at = now_s();
+    storm_from = cut_at + storm_after_cut_s;
     if (trouble())
     {
         out.line("%zu of the %zu daemons, seeds, are cut off from the others; their processes are "
