Fleet size: some of the seeds are not the main part of the fleet

Cause: a daemon that had met more than half of the seeds since its start took itself to be in touch with the main part of the fleet. That assumes that both sides of a partition count seeds. The side that did not restart remembers the size of the fleet, counts none, and goes on with its share.

Change: the members that a daemon knows are all of the fleet only after 3 s of contact with every seed and with a member in every data centre (fleet/contact). Members state their data centre in Hello and Fleet; the platform's settings or the configuration list the data centres. A hub connects to seeds that did not connect to it, as a seed may know it by another address. Contact that is lost before the 3 s are over begins anew. The only seed waits 13 s before it takes itself for the fleet.

Ruled out: that the restarted side could accept a refused connection as a sign that a seed is down, as partitions may refuse connections as well.

Replaced: registry.a_daemon_that_has_met_most_seeds_knows_the_fleet_after_the_discovery_time stated the fault itself, that two of three seeds, or the only one alone, are enough after 3 s. contact.* are as strict about the time with all seeds there.

--- a/apps/fleet_check.cpp
+++ b/apps/fleet_check.cpp
@@ -59,7 +59,8 @@
         violations += check_seed({.seed = first + i,
                                   .daemons = daemons,
                                   .injected = injected.value_or(model::injection::none),
-                                  .store_restorations = options["restore-store"].as<bool>()});
+                                  .store_restorations = options["restore-store"].as<bool>(),
+                                  .cut_off_restarts = options["cut-off-restarts"].as<bool>()});
     }
     return violations > 0 ? 1 : 0;
 }
@@ -80,6 +81,8 @@
         ("inject", "Deliberate fault to turn on", cxxopts::value<std::string>()->default_value(""))
         ("restore-store", "Restore the store from backups now and then",
             cxxopts::value<bool>()->default_value("false"))
+        ("cut-off-restarts", "Daemons start again behind network partitions, and nothing else happens",
+            cxxopts::value<bool>()->default_value("false"))
         ("list-injections", "Print the deliberate faults and the promises that they break",
             cxxopts::value<bool>()->default_value("false"));
     // clang-format on
--- a/deploy/sources.cmake
+++ b/deploy/sources.cmake
@@ -7,7 +7,7 @@
     chart/chart
     config/address config/index config/model config/text_file
     core/command_line core/compression core/digest core/error core/hash
-    fleet/fleet_view fleet/hub_choice fleet/hub_messages fleet/load_encoding fleet/registry fleet/replica
+    fleet/contact fleet/fleet_view fleet/hub_choice fleet/hub_messages fleet/load_encoding fleet/registry fleet/replica
     fleet/replica_updates fleet/report_echoes fleet/service_loads
     limits/account_pools limits/body_budget limits/connection_budget limits/probe_budget limits/retry_budget
     limits/token_bucket
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -3,7 +3,7 @@
 namespace zinniaferry::fleet
 {
 
-fleet_view view_fleet(known_fleet& known, registry& registry, const hub_choice& choice,
+fleet_view view_fleet(known_fleet& known, registry& registry, hub_choice& choice,
                       const std::optional<std::string>& primary_hub,
                       const std::vector<hub_statement>& hubs, core::time_point now)
 {
@@ -21,7 +21,7 @@
         }
         record_members(known.members, *hub.members, now);
     }
-    confirm_contact(registry, choice, hub_messages, now);
+    update_contact(registry, choice, known.heard, hub_messages, now);
     known.size = estimate_fleet_size(known.recent_size, registry, hub_messages, now);
     fleet_view view;
     view.members = recent_members(known.members, now);
--- a/src/fleet/fleet_view.hpp
+++ b/src/fleet/fleet_view.hpp
@@ -1,6 +1,7 @@
 /// What a daemon knows of the fleet, from its subscribers and its hubs.
 #pragma once
 
+#include "fleet/contact.hpp"
 #include "fleet/hub_choice.hpp"
 #include "fleet/registry.hpp"
 
@@ -26,6 +27,7 @@
 struct known_fleet
 {
     member_cache members;
+    contact_history heard;
     known_size recent_size;
     size_estimate size;
 };
@@ -40,8 +42,8 @@
 
 /// Combines the statements of the hubs with this daemon's own registry: the union of their members,
 /// and the highest number of known members. `primary_hub` is an address, which may be this daemon's
-/// own. Not thread safe for the same `known` or `registry`.
-fleet_view view_fleet(known_fleet& known, registry& registry, const hub_choice& choice,
+/// own. Not thread safe for the same `known`, `registry` or `choice`.
+fleet_view view_fleet(known_fleet& known, registry& registry, hub_choice& choice,
                       const std::optional<std::string>& primary_hub,
                       const std::vector<hub_statement>& hubs, core::time_point now);
 
--- a/src/fleet/hub.capnp
+++ b/src/fleet/hub.capnp
@@ -19,6 +19,7 @@
     vm @0 :Text;
     address @1 :Text;
     linkMbps @2 :UInt32;  # 0 if not known.
+    dataCentre @3 :Text;  # Of its VM; empty from older versions.
 }
 
 struct Hello {
@@ -31,6 +32,7 @@
     linkMbps @5 :UInt32;  # 0 if not known.
     membersKnown @6 :UInt32;  # The size of the fleet; 0 if the subscriber does not know it.
     era @7 :UInt64 = 0xffffffffffffffff;  # Of the replica's revisions; the default is sent by older versions.
+    dataCentre @8 :Text;  # As in Member.
 }
 
 struct ServiceLoad {
--- a/src/fleet/hub.capnp.h
+++ b/src/fleet/hub.capnp.h
@@ -58,7 +58,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fe5c020307056a8c, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(fe5c020307056a8c, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -73,7 +73,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eaed290eb65e3159, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(eaed290eb65e3159, 5, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -342,6 +342,9 @@
 
   inline  ::uint32_t getLinkMbps() const;
 
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -387,6 +390,13 @@
   inline  ::uint32_t getLinkMbps();
   inline void setLinkMbps( ::uint32_t value);
 
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -448,6 +458,9 @@
 
   inline  ::uint64_t getEra() const;
 
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -508,6 +521,13 @@
   inline  ::uint64_t getEra();
   inline void setEra( ::uint64_t value);
 
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1568,6 +1588,40 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Member::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Hello::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1720,6 +1774,40 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value, 18446744073709551615ull);
 }
 
+inline bool Hello::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Hello::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Hello::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Hello::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool ServiceLoad::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/fleet/hub_choice.cpp
+++ b/src/fleet/hub_choice.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.hpp"
 
 #include <algorithm>
+#include <span>
 
 namespace zinniaferry::fleet
 {
@@ -106,6 +107,29 @@
     }
 }
 
+// Returns whether the candidate is a hub, ranks above one, or may become one.
+bool is_wanted_as_hub(const hub_choice& choice, const std::string& address, core::time_point now)
+{
+    bool found = false;
+    for_each_wanted(choice, now,
+                    [&](const hub_candidate& candidate)
+                    {
+                        found = candidate.address == address;
+                        return !found;
+                    });
+    return found;
+}
+
+std::span<const hub_candidate> seeds_of(const hub_choice& choice)
+{
+    return std::span(choice.candidates).first(choice.seed_count);
+}
+
+std::span<hub_candidate> seeds_of(hub_choice& choice)
+{
+    return std::span(choice.candidates).first(choice.seed_count);
+}
+
 } // namespace
 
 void set_seeds(hub_choice& choice, const std::vector<std::string>& seeds)
@@ -156,7 +180,6 @@
     for (const member& entry : members)
     {
         add(entry.address, entry.link_mbps);
-        on_met(choice, entry.address);
     }
     std::sort(choice.candidates.begin() + static_cast<std::ptrdiff_t>(choice.seed_count),
               choice.candidates.end(), ranks_before);
@@ -166,34 +189,40 @@
 {
     std::vector<std::string> out;
     const bool fast_retry = !primary_hub(choice, now);
+    const auto request = [&](const hub_candidate& candidate)
+    {
+        const bool idle = candidate.address != choice.own_address && !candidate.connected &&
+                          !candidate.connection_requested;
+        if (idle && now >= next_connect_time(candidate, fast_retry))
+        {
+            find(choice, candidate.address)->connection_requested = true;
+            out.push_back(candidate.address);
+        }
+    };
     for_each_wanted(choice, now,
                     [&](const hub_candidate& candidate)
                     {
-                        const bool idle = candidate.address != choice.own_address &&
-                                          !candidate.connected && !candidate.connection_requested;
-                        if (idle && now >= next_connect_time(candidate, fast_retry))
-                        {
-                            out.push_back(candidate.address);
-                        }
+                        request(candidate);
                         return true;
                     });
-    for (const std::string& address : out)
+    for (const hub_candidate& seed : seeds_of(choice))
     {
-        find(choice, address)->connection_requested = true;
+        if (choice.meet_all_seeds)
+        {
+            request(seed);
+        }
     }
     return out;
 }
 
 bool is_wanted(const hub_choice& choice, const std::string& address, core::time_point now)
 {
-    bool found = false;
-    for_each_wanted(choice, now,
-                    [&](const hub_candidate& candidate)
-                    {
-                        found = candidate.address == address;
-                        return !found;
-                    });
-    return found;
+    const auto seeds = seeds_of(choice);
+    const bool is_seed_to_meet =
+        choice.meet_all_seeds &&
+        std::any_of(seeds.begin(), seeds.end(),
+                    [&](const hub_candidate& seed) { return seed.address == address; });
+    return is_seed_to_meet || is_wanted_as_hub(choice, address, now);
 }
 
 void on_connected(hub_choice& choice, const std::string& address, core::time_point now)
@@ -228,22 +257,30 @@
     }
 }
 
-void on_met(hub_choice& choice, const std::string& address)
+void on_met(hub_choice& choice, const std::string& address, core::time_point now)
 {
-    if (hub_candidate* candidate = find(choice, address))
+    for (hub_candidate& seed : seeds_of(choice))
     {
-        candidate->met = true;
+        seed.last_met = seed.address == address ? now : seed.last_met;
     }
 }
 
-bool has_met_most_seeds(const hub_choice& choice)
+std::size_t count_seeds_in_contact(const hub_choice& choice, core::time_point now)
 {
-    const auto seeds_end =
-        choice.candidates.begin() + static_cast<std::ptrdiff_t>(choice.seed_count);
-    const auto met = std::count_if(choice.candidates.begin(), seeds_end,
-                                   [&](const hub_candidate& seed)
-                                   { return seed.met || seed.address == choice.own_address; });
-    return choice.seed_count == 0 || static_cast<std::size_t>(met) * 2 > choice.seed_count;
+    const auto seeds = seeds_of(choice);
+    return static_cast<std::size_t>(std::count_if(seeds.begin(), seeds.end(),
+                                                  [&](const hub_candidate& seed) {
+                                                      return seed.address == choice.own_address ||
+                                                             now - seed.last_met < contact_timeout;
+                                                  }));
+}
+
+bool names_no_other_seed(const hub_choice& choice)
+{
+    const auto seeds = seeds_of(choice);
+    return std::all_of(seeds.begin(), seeds.end(),
+                       [&](const hub_candidate& seed)
+                       { return seed.address == choice.own_address; });
 }
 
 void on_grant_in_time(hub_choice& choice, const std::string& address)
@@ -266,7 +303,7 @@
 
 bool is_hub(const hub_choice& choice, core::time_point now)
 {
-    return is_wanted(choice, choice.own_address, now);
+    return is_wanted_as_hub(choice, choice.own_address, now);
 }
 
 std::optional<std::string> primary_hub(const hub_choice& choice, core::time_point now)
@@ -314,7 +351,7 @@
                        {"connected", entry.connected},
                        {"current", is_current(entry, now)},
                        {"slow", now < entry.slow_until},
-                       {"met", entry.met},
+                       {"met", entry.last_met != core::time_point()},
                        {"wanted", is_wanted(choice, entry.address, now)}});
     }
     return out;
--- a/src/fleet/hub_choice.hpp
+++ b/src/fleet/hub_choice.hpp
@@ -23,6 +23,9 @@
 /// failed, and a subscriber that hears none has chosen another hub.
 inline constexpr core::duration hub_silence_timeout = std::chrono::milliseconds(1300);
 
+/// A daemon in contact sends a message, or is listed in a hub's, more often than this.
+inline constexpr core::duration contact_timeout = std::chrono::seconds(2);
+
 /// A daemon that may serve this one as a hub.
 struct hub_candidate
 {
@@ -37,7 +40,9 @@
     std::uint32_t consecutive_failures = 0;
     std::uint32_t late_grants = 0; ///< In a row.
     core::time_point slow_until;   ///< Until then the primary hub only if there is no other.
-    bool met = false; ///< It has sent a message, or a hub has reported it, since the start.
+    /// Of a seed: time of its last message, or of the last list of members that named it; the epoch
+    /// before the first since the start.
+    core::time_point last_met;
 };
 
 /// The candidates in rank order, with the state of the connections to them.
@@ -47,6 +52,7 @@
     std::uint32_t own_link_mbps = 0;       ///< Capacity of this VM's link, Mbit/s; 0 if not known.
     std::vector<hub_candidate> candidates; ///< Seeds first, then members, see set_members.
     std::size_t seed_count = 0;            ///< Number of seeds at the front of `candidates`.
+    bool meet_all_seeds = false; ///< Connections to all seeds are wanted, besides those to hubs.
 };
 
 /// All functions: not thread safe for the same hub_choice.
@@ -64,7 +70,7 @@
 std::vector<std::string> connections_to_open(hub_choice& choice, core::time_point now);
 
 /// Returns whether a connection to the candidate is to be opened or kept: it is a hub, ranks above
-/// one, or may become one while there are too few.
+/// one, may become one while there are too few, or is a seed while all seeds are to be met.
 bool is_wanted(const hub_choice& choice, const std::string& address, core::time_point now);
 
 /// Records an opened connection. The candidate is not current until its first update.
@@ -83,14 +89,14 @@
 /// updates.
 void on_grant_late(hub_choice& choice, const std::string& address, core::time_point now);
 
-/// Records that the daemon at the address takes part in the fleet. Has no effect for an address
-/// that is not a candidate.
-void on_met(hub_choice& choice, const std::string& address);
+/// Records a message of the daemon at the address, if it is a seed.
+void on_met(hub_choice& choice, const std::string& address, core::time_point now);
+
+/// Returns how many of the seeds were met lately, this daemon counted if it is a seed.
+std::size_t count_seeds_in_contact(const hub_choice& choice, core::time_point now);
 
-/// Returns whether more than half of the seeds have been met since the start, this daemon counted
-/// if it is a seed. True without seeds. Two groups of daemons that cannot reach each other do not
-/// both meet that many.
-bool has_met_most_seeds(const hub_choice& choice);
+/// Returns whether the settings name no other daemon: there are no seeds, or this one only.
+bool names_no_other_seed(const hub_choice& choice);
 
 /// Returns whether this daemon is one of its own hubs.
 bool is_hub(const hub_choice& choice, core::time_point now);
--- a/src/fleet/hub_messages.cpp
+++ b/src/fleet/hub_messages.cpp
@@ -68,6 +68,7 @@
         hello.setVm(value.self.vm);
         hello.setAddress(value.self.address);
         hello.setLinkMbps(value.self.link_mbps);
+        hello.setDataCentre(value.self.data_centre);
         hello.setIncarnation(value.incarnation);
         hello.setEra(value.era.value_or(no_era));
         hello.setRevision(value.revision);
@@ -135,6 +136,7 @@
             members[i].setVm(value.members[i].vm);
             members[i].setAddress(value.members[i].address);
             members[i].setLinkMbps(value.members[i].link_mbps);
+            members[i].setDataCentre(value.members[i].data_centre);
         }
     }
 };
@@ -179,7 +181,10 @@
     out.selection_rate = read_rate(fleet.getSelectionRate());
     for (const auto& entry : fleet.getMembers())
     {
-        out.members.push_back({text(entry.getVm()), text(entry.getAddress()), entry.getLinkMbps()});
+        out.members.push_back({.vm = text(entry.getVm()),
+                               .address = text(entry.getAddress()),
+                               .link_mbps = entry.getLinkMbps(),
+                               .data_centre = text(entry.getDataCentre())});
     }
     return out;
 }
@@ -201,13 +206,15 @@
     case wire::HubMessage::HELLO:
     {
         const auto hello = message.getHello();
-        return hello_message{
-            .self = {text(hello.getVm()), text(hello.getAddress()), hello.getLinkMbps()},
-            .incarnation = hello.getIncarnation(),
-            .era = read_era(hello.getEra()),
-            .revision = hello.getRevision(),
-            .accepts_compressed = hello.getAcceptsCompressed(),
-            .members_known = hello.getMembersKnown()};
+        return hello_message{.self = {.vm = text(hello.getVm()),
+                                      .address = text(hello.getAddress()),
+                                      .link_mbps = hello.getLinkMbps(),
+                                      .data_centre = text(hello.getDataCentre())},
+                             .incarnation = hello.getIncarnation(),
+                             .era = read_era(hello.getEra()),
+                             .revision = hello.getRevision(),
+                             .accepts_compressed = hello.getAcceptsCompressed(),
+                             .members_known = hello.getMembersKnown()};
     }
     case wire::HubMessage::REPORT:
         return report_message{.primary = message.getReport().getPrimary(),
--- a/src/fleet/hub_messages.hpp
+++ b/src/fleet/hub_messages.hpp
@@ -24,6 +24,7 @@
     std::string vm;              ///< Name of its VM.
     std::string address;         ///< Its peer address: IP address and port.
     std::uint32_t link_mbps = 0; ///< Capacity of its VM's link, Mbit/s; 0 if not known.
+    std::string data_centre;     ///< Of its VM; empty if not known.
 
     bool operator==(const member&) const = default;
 };
--- a/src/fleet/registry.cpp
+++ b/src/fleet/registry.cpp
@@ -18,14 +18,13 @@
 constexpr core::duration max_report_gap = std::chrono::milliseconds(800);
 /// All members subscribe to a new hub within this time.
 constexpr core::duration discovery_time = std::chrono::seconds(3);
-/// A group of daemons that has not met most seeds for this time takes itself for the whole fleet:
-/// the seeds may be out of date or down. Most network partitions are shorter.
-constexpr core::duration seed_wait = std::chrono::seconds(13);
+/// A group of daemons that lacks seeds or data centres for this time takes itself for the whole
+/// fleet: they may be out of date or down. Most network partitions are shorter.
+constexpr core::duration contact_wait = std::chrono::seconds(13);
 
 /// Lower bound on the fleet's size while some members may not have subscribed yet.
 constexpr std::size_t min_assumed_members = 20;
-/// Members that each known one stands for until contact with the main part of the fleet is
-/// confirmed.
+/// Members that each known one stands for until this daemon is in contact with the whole fleet.
 constexpr std::size_t assumed_members_per_known = 20;
 
 /// A member that no hub has reported for longer has left the fleet.
@@ -62,19 +61,17 @@
     entry.elapsed_time -= counted;
 }
 
-bool is_contact_confirmed(const registry& registry)
+bool is_in_contact(const registry& registry)
 {
-    return registry.contact_confirmed_at != core::time_point();
+    return registry.contact_since != core::time_point();
 }
 
-// Returns whether every member that this daemon can reach has subscribed.
-bool is_settled(const registry& registry, core::time_point now)
+// Returns whether this daemon, or the group that it belongs to, has waited long enough for others.
+bool has_waited_for_contact(const registry& registry, core::time_point now)
 {
-    if (is_contact_confirmed(registry))
-    {
-        return now - registry.contact_confirmed_at >= discovery_time;
-    }
-    return !registry.members.empty() && now - registry.first_member_at >= seed_wait;
+    const bool is_single = registry.members.empty();
+    const core::time_point since = is_single ? registry.started : registry.first_member_at;
+    return now - since >= contact_wait && !(is_single && registry.has_other_seeds);
 }
 
 std::size_t members_known(const registry& registry, core::time_point now)
@@ -207,6 +204,12 @@
         { return !entry.second.subscribed && now - entry.second.last_heard > member_retention; });
 }
 
+bool is_settled(const registry& registry, core::time_point now)
+{
+    return is_in_contact(registry) ? now - registry.contact_since >= discovery_time
+                                   : has_waited_for_contact(registry, now);
+}
+
 fleet_message make_fleet_summary(const registry& registry, core::time_point now)
 {
     return {.members_known = static_cast<std::uint32_t>(members_known(registry, now)),
@@ -247,20 +250,6 @@
     return size.largest;
 }
 
-void confirm_contact(registry& registry, const hub_choice& choice,
-                     const std::vector<const fleet_message*>& hubs, core::time_point now)
-{
-    const bool hub_knows_fleet = std::any_of(hubs.begin(), hubs.end(),
-                                             [](const fleet_message* hub)
-                                             { return hub->members_known > 0 && hub->settled; });
-    const bool in_touch =
-        has_met_most_seeds(choice) || hub_knows_fleet || registry.stated_size.largest > 0;
-    if (in_touch && !is_contact_confirmed(registry))
-    {
-        registry.contact_confirmed_at = now;
-    }
-}
-
 size_estimate estimate_fleet_size(known_size& recent, const registry& own,
                                   const std::vector<const fleet_message*>& hubs,
                                   core::time_point now)
@@ -276,8 +265,8 @@
         any_settled = any_settled || (has_reported && hub->settled);
     }
     known = largest_recent_size(recent, known, now);
-    const std::size_t assumed = is_contact_confirmed(own) ? std::max(known, min_assumed_members)
-                                                          : known * assumed_members_per_known;
+    const std::size_t assumed = is_in_contact(own) ? std::max(known, min_assumed_members)
+                                                   : known * assumed_members_per_known;
     return {.members_known = all_settled ? known : assumed, .is_known = any_settled};
 }
 
--- a/src/fleet/registry.hpp
+++ b/src/fleet/registry.hpp
@@ -7,6 +7,7 @@
 #include "fleet/hub_messages.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -54,9 +55,13 @@
     core::time_point own_primary_until; ///< This daemon's own time is counted until then.
     known_size stated_size;             ///< Largest size of the fleet that subscribers stated.
     core::time_point first_member_at;   ///< First subscription; the epoch before.
-    /// Since when this daemon has been in touch with the main part of the fleet, see
-    /// confirm_contact; the epoch before. It is kept while a network partition lasts.
-    core::time_point contact_confirmed_at;
+    /// Data centres in which the fleet has daemons; nothing while they are not known.
+    std::optional<std::vector<std::string>> data_centres;
+    bool size_was_stated = false; ///< A subscriber or a hub has stated the size since the start.
+    bool has_other_seeds = true;  ///< The settings name a seed besides this daemon.
+    /// Since when this daemon has been in contact with the whole fleet, see update_contact; the
+    /// epoch while it is not. Kept once the members are known, also during network partitions.
+    core::time_point contact_since;
 };
 
 /// Members that any hub reported to this daemon recently. A hub that has just taken over may know
@@ -101,6 +106,11 @@
 /// the shares of a part of the fleet behind a network partition stay reserved.
 void remove_expired_members(registry& registry, core::time_point now);
 
+/// Returns whether every member of the fleet has subscribed: this daemon has been in contact with
+/// the whole fleet for the time that it takes, or with a group that has waited long enough for the
+/// rest.
+bool is_settled(const registry& registry, core::time_point now);
+
 /// Returns the message that this hub sends to its subscribers, without the list of members.
 fleet_message make_fleet_summary(const registry& registry, core::time_point now);
 
@@ -116,13 +126,6 @@
 /// are probably on the other side of a network partition. Not thread safe.
 std::size_t largest_recent_size(known_size& size, std::size_t known, core::time_point now);
 
-/// Records that this daemon is in touch with the main part of the fleet, if it is: it has met most
-/// seeds, a hub knows the fleet, or a subscriber stated its size. A daemon that starts cut off from
-/// the others knows no size of the fleet, and must not take itself, or the few that it meets, for
-/// all. `hubs` are the last messages of the hubs. Not thread safe.
-void confirm_contact(registry& registry, const hub_choice& choice,
-                     const std::vector<const fleet_message*>& hubs, core::time_point now);
-
 /// The size of the fleet, as far as it is known.
 struct size_estimate
 {
--- a/src/model/hub_links.cpp
+++ b/src/model/hub_links.cpp
@@ -42,6 +42,7 @@
     fleet::on_echo(connection->echoes, update.last_report);
     const core::time_point as_of = fleet::sent_after(connection->echoes) - update.age;
     fleet::on_update(process.hubs, world.daemons[connection->hub].identity.address, as_of, now);
+    fleet::on_met(process.hubs, world.daemons[connection->hub].identity.address, now);
     process.received_update = true;
     apply_changes(world, connection->subscriber,
                   fleet::apply_update(process.replica, update, as_of, now));
@@ -51,13 +52,15 @@
                   const fleet::hub_message& message)
 {
     connection->last_fleet = std::get<fleet::fleet_message>(message);
-    fleet::hub_choice& hubs = process_of(world, connection->subscriber).hubs;
-    fleet::on_met(hubs, world.daemons[connection->hub].identity.address);
+    process& process = process_of(world, connection->subscriber);
+    fleet::hub_choice& hubs = process.hubs;
+    fleet::on_met(hubs, world.daemons[connection->hub].identity.address, world.queue.now);
     if (!connection->last_fleet.members.empty())
     {
         connection->members = connection->last_fleet.members;
         fleet::set_members(hubs, connection->members);
     }
+    fleet::on_members_heard(process.known_fleet.heard, hubs, connection->members, world.queue.now);
     apply_fleet_view(world, connection->subscriber);
 }
 
@@ -127,6 +130,9 @@
     const std::string& vm = world.daemons[connection->subscriber].identity.vm;
     const auto& report = std::get<fleet::report_message>(message);
     connection->last_report = report.number;
+    process& hub = process_of(world, connection->hub);
+    fleet::on_member_heard(hub.known_fleet.heard, hub.hubs,
+                           world.daemons[connection->subscriber].identity, world.queue.now);
     send_changes(world, connection);
     if (fleet::on_report(process_of(world, connection->hub).registry, vm, report, world.queue.now))
     {
@@ -167,7 +173,7 @@
     const auto& hello = std::get<fleet::hello_message>(message);
     process& hub = process_of(world, connection->hub);
     fleet::on_hello(hub.registry, hello, world.queue.now);
-    fleet::on_met(hub.hubs, hello.self.address);
+    fleet::on_member_heard(hub.known_fleet.heard, hub.hubs, hello.self, world.queue.now);
     apply_fleet_view(world, connection->hub);
     hub.subscribers.push_back(connection);
     connection->position = fleet::position_from(hello, hub.replica);
--- a/src/model/network.hpp
+++ b/src/model/network.hpp
@@ -6,6 +6,7 @@
 #include "model/event_queue.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <utility>
 #include <vector>
@@ -24,6 +25,9 @@
     action deliver;
 };
 
+/// Side of a node that all others reach during a partition.
+inline constexpr std::uint32_t every_side = 0xffffffff;
+
 struct network
 {
     std::vector<std::uint32_t> side;  ///< By node: nodes on different sides of a partition are cut.
--- a/src/model/run.hpp
+++ b/src/model/run.hpp
@@ -12,6 +12,8 @@
     std::size_t daemons = 9;
     injection injected = injection::none;
     bool store_restorations = false; ///< The store is restored from backups now and then.
+    /// Daemons start again behind network partitions; these are the only disturbances then.
+    bool cut_off_restarts = false;
     core::duration length = std::chrono::seconds(60); ///< Of virtual time.
 };
 
--- a/src/model/world.hpp
+++ b/src/model/world.hpp
@@ -116,7 +116,8 @@
     network net;
     model::store store;
     std::vector<daemon> daemons;
-    std::map<std::string, backend_server> servers;           ///< By id.
+    std::vector<std::size_t> seeds;                ///< Daemons whose addresses are in the settings.
+    std::map<std::string, backend_server> servers; ///< By id.
     std::map<std::string, routing::listed_backend> listings; ///< By value of a store entry.
     model::history history;
     model::bounds bounds;
@@ -125,6 +126,7 @@
     bool store_down = false;                        ///< For all daemons and the operator.
     core::random_generator random;
     core::random_generator restoration_random; ///< For restorations of the store only.
+    core::random_generator cut_random;         ///< For restarts behind a partition only.
     boost::asio::io_context io;                ///< Never run; gateways keep a reference.
     std::uint64_t next_process = 1;
 };
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -78,8 +78,8 @@
                     .random_seed = random_number(),
                     .memory_bytes = options.memory_bytes}),
           sessions_{.gateway = gateway_},
-          links_(io_, {options.vm, options.peer_address, options.link_mbps}, random_number(),
-                 replica_, gateway_.log, link_callbacks())
+          links_(io_, {options.vm, options.peer_address, options.link_mbps, options.data_centre},
+                 random_number(), replica_, gateway_.log, link_callbacks())
     {
         gateway_.backends.are_members_known = false;
         gateway_.request_hub_grant = [this](std::string account)
@@ -160,6 +160,25 @@
         gateway_.backends.options.cold_overage = bounds.cold_overage;
         gateway_.backends.options.cold_slack = bounds.cold_slack;
         links_.set_seeds(settings_.seeds);
+        links_.set_data_centres(data_centres_of_fleet());
+    }
+
+    // Returns the data centres in which the fleet has daemons, or nothing while they are not known.
+    std::optional<std::vector<std::string>> data_centres_of_fleet() const
+    {
+        if (settings_.data_centres || !gateway_.configuration)
+        {
+            return settings_.data_centres;
+        }
+        std::vector<std::string> out;
+        for (const config::data_centre& entry : gateway_.configuration->config->data_centres)
+        {
+            if (entry.region == options_.region)
+            {
+                out.push_back(entry.name);
+            }
+        }
+        return out;
     }
 
     hub_link_callbacks link_callbacks()
@@ -248,6 +267,7 @@
                 std::get_if<std::shared_ptr<const config::configuration>>(&meaning))
         {
             apply_configuration(gateway_, *config, now);
+            links_.set_data_centres(data_centres_of_fleet());
         }
         else if (const auto* server = std::get_if<routing::listed_backend>(&meaning))
         {
--- a/src/net/daemon.hpp
+++ b/src/net/daemon.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -87,6 +88,8 @@
 struct reloadable_settings
 {
     std::vector<std::string> seeds; ///< Peer addresses of some daemons; may be out of date.
+    /// Data centres in which the fleet has daemons; nothing if the configuration lists them.
+    std::optional<std::vector<std::string>> data_centres;
     fleet_bounds bounds;
 
     /// From the stop signal to the exit.
--- a/src/net/hub_links.cpp
+++ b/src/net/hub_links.cpp
@@ -47,6 +47,11 @@
     fleet::set_seeds(choice_, seeds);
 }
 
+void hub_links::set_data_centres(std::optional<std::vector<std::string>> names)
+{
+    registry_.data_centres = std::move(names);
+}
+
 bool hub_links::must_follow_platform() const
 {
     return fleet::must_follow_platform(choice_, !subscribers_.empty(), registry_.started,
@@ -212,6 +217,7 @@
 void hub_links::handle_message(const std::string& address, link& hub,
                                const fleet::hub_message& message)
 {
+    fleet::on_met(choice_, address, core::boot_clock_now());
     if (const auto* update = std::get_if<fleet::update_message>(&message))
     {
         handle_update(address, hub, *update);
@@ -219,12 +225,12 @@
     else if (const auto* fleet = std::get_if<fleet::fleet_message>(&message))
     {
         hub.last_fleet = *fleet;
-        fleet::on_met(choice_, address);
         if (!fleet->members.empty())
         {
             hub.members = fleet->members;
             fleet::set_members(choice_, hub.members);
         }
+        fleet::on_members_heard(known_fleet_.heard, choice_, hub.members, core::boot_clock_now());
         report_fleet_view();
     }
     else if (const auto* grant = std::get_if<fleet::grant_message>(&message))
@@ -316,9 +322,13 @@
         fleet::view_fleet(known_fleet_, registry_, choice_, primary_hub_, statements, now);
     if (view.is_size_known != was_known)
     {
+        const fleet::contact contact =
+            fleet::find_contact(registry_, choice_, known_fleet_.heard, now);
         log_.write("peers", view.is_size_known ? "fleet_size_known" : "fleet_size_unknown",
                    {{"members", view.members_known},
-                    {"met_most_seeds", fleet::has_met_most_seeds(choice_)}});
+                    {"seeds_met", contact.seeds},
+                    {"data_centres_met", contact.data_centres},
+                    {"size_stated", registry_.size_was_stated}});
     }
     callbacks_.on_fleet_view(view);
 }
@@ -337,6 +347,9 @@
     out["is_hub"] = fleet::is_hub(choice_, now);
     out["fleet_size"] = known_fleet_.size.members_known;
     out["is_fleet_size_known"] = known_fleet_.size.is_known;
+    const fleet::contact contact = fleet::find_contact(registry_, choice_, known_fleet_.heard, now);
+    out["seeds_met"] = contact.seeds;
+    out["data_centres_met"] = contact.data_centres;
     out["candidates"] = fleet::dump(choice_, now);
     out["bytes_in"] = counters_.bytes_in;
     out["bytes_out"] = counters_.bytes_out;
--- a/src/net/hub_links.hpp
+++ b/src/net/hub_links.hpp
@@ -65,6 +65,9 @@
     /// Replaces the seeds' peer addresses.
     void set_seeds(const std::vector<std::string>& seeds);
 
+    /// Replaces the data centres in which the fleet has daemons; nothing while they are not known.
+    void set_data_centres(std::optional<std::vector<std::string>> names);
+
     /// Accepts subscribers until the acceptor is closed.
     asio::awaitable<void> serve(asio::ip::tcp::acceptor& acceptor);
 
--- a/src/net/hub_subscribers.cpp
+++ b/src/net/hub_subscribers.cpp
@@ -41,7 +41,8 @@
     const fleet::hello_message subscriber_hello = *hello;
     const std::string vm = subscriber_hello.self.vm;
     fleet::on_hello(registry_, subscriber_hello, core::boot_clock_now());
-    fleet::on_met(choice_, subscriber_hello.self.address);
+    fleet::on_member_heard(known_fleet_.heard, choice_, subscriber_hello.self,
+                           core::boot_clock_now());
     report_fleet_view();
     log_.write("peers", "subscribed",
                {{"subscriber", vm}, {"revision", subscriber_hello.revision}});
@@ -55,6 +56,8 @@
         if (const auto* report = std::get_if<fleet::report_message>(&*message))
         {
             subscriber->last_report = report->number;
+            fleet::on_member_heard(known_fleet_.heard, choice_, subscriber_hello.self,
+                                   core::boot_clock_now());
             notify(*subscriber);
             if (fleet::on_report(registry_, vm, *report, core::boot_clock_now()))
             {
--- a/test/correctness/platform/decode_test.cpp
+++ b/test/correctness/platform/decode_test.cpp
@@ -168,6 +168,11 @@
     const settings read = read_settings(settings_text, "f").value();
     EXPECT_EQ(read.vm, "front-z-1");
     EXPECT_EQ(read.data_centre, "z");
+    EXPECT_EQ(read.data_centres, std::vector<std::string>{"z"}) << "no others are stated";
+    const std::string zones = R"("zones":{"z":"r","y":"r"},"new-field")";
+    EXPECT_EQ(
+        read_settings(replaced(settings_text, "\"new-field\"", zones), "f").value().data_centres,
+        (std::vector<std::string>{"z", "y"}));
     EXPECT_EQ(read.peer_address, "10.1.0.30:8783");
     EXPECT_EQ(read.seeds, (std::vector<std::string>{"10.1.0.30:8783", "10.2.0.22:8783"}));
     EXPECT_EQ(read.retry_budget_ratio, 0.25);
--- a/tools/fleet_faults.sh
+++ b/tools/fleet_faults.sh
@@ -4,9 +4,9 @@
 # "N passed, N failed" as the last line.
 #
 # usage: tools/fleet_faults.sh [CASE...] BUILD_DIR
-#   CASE is planned_stop, stop_of_slow_requests, cut_off_restart, key_withdrawn, service_down, service_stale,
-#   paused_daemon, server_restart, server_leaving, server_asks_for_pause, server_reborn_leaving or data_centre_out;
-#   without a CASE all run. "service" in a name is the platform's configuration service, "server" a backend server.
+#   CASE is planned_stop, stop_of_slow_requests, cut_off_restart, cut_off_seeds_restart, cut_off_only_seed_restart,
+#   power_loss, key_withdrawn, service_down, service_stale, paused_daemon, server_restart, server_leaving,
+#   server_asks_for_pause, server_reborn_leaving or data_centre_out; without a CASE all run. "service" in a name is the platform's configuration service, "server" a backend server.
 # environment:
 #   FAULTS_PORT    first port of the shared fleet (32000); the demo's fleet is at +500. All must be below the ephemeral
 #                  port range, from which any outgoing connection may take a port.
@@ -15,7 +15,7 @@
 cd "$(dirname "$0")/.."
 
 all_cases=(key_withdrawn service_stale service_down paused_daemon server_restart planned_stop stop_of_slow_requests
-    cut_off_restart server_leaving
+    cut_off_restart cut_off_seeds_restart cut_off_only_seed_restart power_loss server_leaving
     server_asks_for_pause server_reborn_leaving data_centre_out)
 if (($# == 0)); then
     echo "usage: tools/fleet_faults.sh [CASE...] BUILD_DIR" >&2
@@ -353,39 +353,6 @@
     check_all_records
 }
 
-# Guards against a daemon that starts while it reaches no other one and takes itself for the whole fleet: it granted each
-# account's whole rate beside the others.
-case_cut_off_restart() {
-    local account account_rate answered allowed settings=$folder/vm-4.json
-    read -r account account_rate <"$folder/accounts"
-    terminate_processes "${daemon_pids[3]}"
-    # Nothing listens on port 1.
-    cp "$settings" "$folder/vm-4.saved"
-    sed -i -E "s/\"seeds\":\[[^]]*\]/\"seeds\":[\"$ip:1\",\"127.0.0.2:1\",\"127.0.0.3:1\"]/" "$settings"
-    start_daemon 3
-    wait_until_ready 3 || add_failure "the restarted vm-4 did not become ready"
-    # Longer than a daemon that has started takes to know the members of its fleet.
-    sleep 4
-    load_number=$((load_number + 1))
-    records=$folder/$load_number.records
-    echo "{\"accounts\":[{\"name\":\"$account\",\"key\":\"demo-key-$account\",\"rate\":20}],
-           \"routes\":[{\"name\":\"p\",\"path\":\"/patterns\",\"weight\":1,\"idempotent\":true}]}" >"$folder/$load_number.mix"
-    "$build/bin/zinnia_load" --target "$ip:$((base_port + 13))" --mix "$folder/$load_number.mix" --duration 5 \
-        --rate "$(awk -v r="$account_rate" 'BEGIN { print r * 3 }')" --name "run$load_number" --record "$records" \
-        >"$folder/$load_number.report" 2>&1 || true
-    answered=$(grep -c '"outcome":"answered"' "$records" || true)
-    # A quarter of the rate is what operators tolerate above it.
-    allowed=$(awk -v r="$account_rate" 'BEGIN { print int(r * 5 / 4) }')
-    if ((answered > allowed)); then
-        add_failure "vm-4 let $answered requests of $account pass in 5 s, at a rate of $account_rate; at most $allowed are allowed"
-    fi
-    if (($(wc -l <"$records") <= allowed)); then add_failure "too few requests were sent, so the case tested nothing"; fi
-    terminate_processes "${daemon_pids[3]}"
-    cp "$folder/vm-4.saved" "$settings"
-    start_daemon 3
-    wait_until_ready 3 || add_failure "vm-4 did not become ready with its seeds"
-}
-
 # Guards against requests in a data centre that is out of service; see tools/demo.sh.
 case_data_centre_out() {
     local code=0
@@ -396,6 +363,8 @@
     if ((code != 0)); then add_failure "tools/demo.sh: $(grep '^failed: ' "$folder/demo.out" | tr '\n' ' ' || true)"; fi
 }
 
+# shellcheck source=tools/fleet_restart_cases.sh
+source tools/fleet_restart_cases.sh
 # shellcheck source=tools/fleet_server_cases.sh
 source tools/fleet_server_cases.sh
 
