Fleet size: a side without seeds gives way to a part that looks like the fleet

Cause: such a part sees the same as a fleet of its members after a loss of power. No process in it can tell the two apart; the trace of both sides is in contact.a_side_without_seeds_gives_way_to_a_part_that_looks_like_the_fleet.

Change: the other side can tell that such a part is missing. While every seed and a member in every data centre have been silent for 3 to 13 s, it counts each member as 20 again, so that its pools hold a twentieth of the rates. A fleet that loses power as a whole is not delayed by it.

--- a/src/fleet/contact.cpp
+++ b/src/fleet/contact.cpp
@@ -1,6 +1,7 @@
 #include "fleet/contact.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 
 namespace zinniaferry::fleet
@@ -40,6 +41,30 @@
                       [&](const std::string& name) { return met.contains(name); }));
 }
 
+// Returns when the last of the seeds went silent. Nothing if one was never met, or is this daemon.
+std::optional<core::time_point> all_seeds_lost_at(const hub_choice& choice)
+{
+    std::optional<core::time_point> latest;
+    for (const hub_candidate& seed : seeds_of(choice))
+    {
+        if (seed.address == choice.own_address || seed.last_met == core::time_point())
+        {
+            return std::nullopt;
+        }
+        latest = std::max(latest.value_or(seed.last_met), seed.last_met);
+    }
+    return latest;
+}
+
+// Returns whether this daemon and the members that are heard of are a tenth of all, or less.
+bool is_small_side(const contact_history& history, core::time_point now)
+{
+    const auto heard = std::count_if(history.members.begin(), history.members.end(),
+                                     [&](const auto& entry)
+                                     { return now - entry.second.last_heard < contact_timeout; });
+    return (static_cast<std::size_t>(heard) + 1) * 10 <= history.members.size() + 1;
+}
+
 bool is_alone(const contact_history& history, core::time_point now)
 {
     return std::none_of(history.members.begin(), history.members.end(),
@@ -84,6 +109,31 @@
     return out;
 }
 
+bool may_others_be_the_fleet(const registry& registry, const hub_choice& choice,
+                             const contact_history& history, core::time_point now)
+{
+    const auto lost_at = all_seeds_lost_at(choice);
+    if (!lost_at || now - *lost_at < discovery_time || now - *lost_at >= contact_wait ||
+        !registry.data_centres || is_small_side(history, now))
+    {
+        return false;
+    }
+    const auto is_lost_with_seeds = [&](const heard_member& member)
+    {
+        return now - member.last_heard >= contact_timeout &&
+               member.last_heard >= *lost_at - discovery_time;
+    };
+    return std::all_of(registry.data_centres->begin(), registry.data_centres->end(),
+                       [&](const std::string& name)
+                       {
+                           return std::any_of(history.members.begin(), history.members.end(),
+                                              [&](const auto& entry) {
+                                                  return entry.second.data_centre == name &&
+                                                         is_lost_with_seeds(entry.second);
+                                              });
+                       });
+}
+
 void update_contact(registry& registry, hub_choice& choice, contact_history& history,
                     const std::vector<const fleet_message*>& hubs, core::time_point now)
 {
--- a/src/fleet/contact.hpp
+++ b/src/fleet/contact.hpp
@@ -7,7 +7,8 @@
 /// in every data centre. Some of the seeds are not enough, however many: only one side of a
 /// partition has to start again to count them, as the other one remembers the fleet. What no group
 /// can tell from the whole fleet is a part of it that holds all seeds and has members in all data
-/// centres.
+/// centres. So the side that has lost such a part gives up its shares for as long as that part may
+/// have started again behind a partition.
 #pragma once
 
 #include "fleet/hub_choice.hpp"
@@ -54,6 +55,13 @@
 contact find_contact(const registry& registry, const hub_choice& choice,
                      const contact_history& history, core::time_point now);
 
+/// Returns whether the members that are no longer heard of may have started again and taken
+/// themselves for the whole fleet: every seed, and a member in every data centre, went silent 3 to
+/// 13 s ago. False on a side of a tenth of the members or less, whose shares the tolerance above
+/// the rates covers.
+bool may_others_be_the_fleet(const registry& registry, const hub_choice& choice,
+                             const contact_history& history, core::time_point now);
+
 /// Records whether this daemon is in contact with the whole fleet: its contact is complete, or a
 /// hub or a subscriber has stated the size of the fleet. Contact that is lost before the members
 /// are known begins anew. Until then a hub also wants connections to the seeds. `hubs` are the last
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -25,7 +25,9 @@
     known.size = estimate_fleet_size(known.recent_size, registry, hub_messages, now);
     fleet_view view;
     view.members = recent_members(known.members, now);
-    view.members_known = known.size.members_known;
+    const bool may_be_outside = may_others_be_the_fleet(registry, choice, known.heard, now);
+    view.members_known =
+        known.size.members_known * (may_be_outside ? assumed_members_per_known : 1);
     view.primary_members = count_primary_members(registry, now) + (is_own_primary ? 1 : 0);
     view.hub_reachable = primary_hub.has_value();
     view.own_selection_rate = registry.own_selection_rate;
--- a/src/fleet/hub_choice.cpp
+++ b/src/fleet/hub_choice.cpp
@@ -3,7 +3,6 @@
 #include "core/hash.hpp"
 
 #include <algorithm>
-#include <span>
 
 namespace zinniaferry::fleet
 {
@@ -120,16 +119,6 @@
     return found;
 }
 
-std::span<const hub_candidate> seeds_of(const hub_choice& choice)
-{
-    return std::span(choice.candidates).first(choice.seed_count);
-}
-
-std::span<hub_candidate> seeds_of(hub_choice& choice)
-{
-    return std::span(choice.candidates).first(choice.seed_count);
-}
-
 } // namespace
 
 void set_seeds(hub_choice& choice, const std::vector<std::string>& seeds)
@@ -259,12 +248,17 @@
 
 void on_met(hub_choice& choice, const std::string& address, core::time_point now)
 {
-    for (hub_candidate& seed : seeds_of(choice))
+    for (hub_candidate& seed : std::span(choice.candidates).first(choice.seed_count))
     {
         seed.last_met = seed.address == address ? now : seed.last_met;
     }
 }
 
+std::span<const hub_candidate> seeds_of(const hub_choice& choice)
+{
+    return std::span(choice.candidates).first(choice.seed_count);
+}
+
 std::size_t count_seeds_in_contact(const hub_choice& choice, core::time_point now)
 {
     const auto seeds = seeds_of(choice);
--- a/src/fleet/hub_choice.hpp
+++ b/src/fleet/hub_choice.hpp
@@ -13,6 +13,7 @@
 #include <boost/json.hpp>
 
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -95,6 +96,9 @@
 /// Returns how many of the seeds were met lately, this daemon counted if it is a seed.
 std::size_t count_seeds_in_contact(const hub_choice& choice, core::time_point now);
 
+/// Returns the candidates that are seeds.
+std::span<const hub_candidate> seeds_of(const hub_choice& choice);
+
 /// Returns whether the settings name no other daemon: there are no seeds, or this one only.
 bool names_no_other_seed(const hub_choice& choice);
 
--- a/src/fleet/registry.cpp
+++ b/src/fleet/registry.cpp
@@ -16,17 +16,8 @@
 /// A primary member reports, or asks for grants, more often than this. The time of a longer silence
 /// does not count, as the member may have used another hub meanwhile.
 constexpr core::duration max_report_gap = std::chrono::milliseconds(800);
-/// All members subscribe to a new hub within this time.
-constexpr core::duration discovery_time = std::chrono::seconds(3);
-/// A group of daemons that lacks seeds or data centres for this time takes itself for the whole
-/// fleet: they may be out of date or down. Most network partitions are shorter.
-constexpr core::duration contact_wait = std::chrono::seconds(13);
-
 /// Lower bound on the fleet's size while some members may not have subscribed yet.
 constexpr std::size_t min_assumed_members = 20;
-/// Members that each known one stands for until this daemon is in contact with the whole fleet.
-constexpr std::size_t assumed_members_per_known = 20;
-
 /// A member that no hub has reported for longer has left the fleet.
 constexpr core::duration member_cache_lifetime = std::chrono::seconds(5);
 
--- a/src/fleet/registry.hpp
+++ b/src/fleet/registry.hpp
@@ -15,6 +15,14 @@
 namespace zinniaferry::fleet
 {
 
+/// All members subscribe to a new hub within this time.
+inline constexpr core::duration discovery_time = std::chrono::seconds(3);
+/// A group of daemons that lacks seeds or data centres for this time takes itself for the whole
+/// fleet: they may be out of date or down. Most network partitions are shorter.
+inline constexpr core::duration contact_wait = std::chrono::seconds(13);
+/// Members that each known one stands for while this daemon cannot tell whether all are known.
+inline constexpr std::size_t assumed_members_per_known = 20;
+
 /// A daemon that is or was subscribed to this one.
 struct registered_member
 {
--- a/src/model/cut_off_restarts.cpp
+++ b/src/model/cut_off_restarts.cpp
@@ -3,9 +3,6 @@
 #include "model/callers.hpp"
 #include "model/operator.hpp"
 
-#include <algorithm>
-#include <set>
-
 namespace zinniaferry::model
 {
 
@@ -68,24 +65,6 @@
     }
 }
 
-bool looks_like_the_fleet(const world& world, const std::vector<std::size_t>& cut)
-{
-    std::set<std::string> all;
-    std::set<std::string> met;
-    for (const daemon& entry : world.daemons)
-    {
-        all.insert(entry.data_centre);
-    }
-    for (const std::size_t daemon : cut)
-    {
-        met.insert(world.daemons[daemon].data_centre);
-    }
-    return met == all &&
-           std::all_of(world.seeds.begin(), world.seeds.end(),
-                       [&](std::size_t seed)
-                       { return std::find(cut.begin(), cut.end(), seed) != cut.end(); });
-}
-
 void kill_and_start(world& world, std::size_t daemon, core::random_generator& random)
 {
     kill_process(world, daemon);
@@ -93,6 +72,31 @@
              [&world, daemon] { start_process(world, daemon); });
 }
 
+// Gives the retry budgets and the senders to cold servers something to do: a service fails, and two
+// servers of others start again.
+void disturb_servers(world& world, core::duration time, core::random_generator& random)
+{
+    std::vector<std::string> ids;
+    for (const auto& [id, server] : world.servers)
+    {
+        ids.push_back(id);
+    }
+    const std::string failing =
+        world.servers.at(ids[core::uniform_index(random, ids.size())]).service;
+    for (const std::string& id : ids)
+    {
+        if (world.servers.at(id).service == failing)
+        {
+            world.servers.at(id).failing_until = world.queue.now + time;
+        }
+    }
+    std::erase_if(ids,
+                  [&](const std::string& id) { return world.servers.at(id).service == failing; });
+    const std::size_t first = core::uniform_index(random, ids.size());
+    restart_server(world, ids[first]);
+    restart_server(world, ids[(first + 1) % ids.size()]);
+}
+
 void begin_cut(world& world, const std::vector<std::size_t>& cut, core::duration time,
                core::random_generator& random)
 {
@@ -116,6 +120,7 @@
     {
         world.storms[account.name] = world.queue.now + time;
     }
+    disturb_servers(world, time, random);
     const core::duration kill_delay = between(random, 0.0, latest_kill_s);
     const double restarted_share = core::uniform(random) < 0.7 ? 1.0 : 0.6;
     for (const std::size_t daemon : cut)
@@ -150,11 +155,7 @@
     core::time_point at = begin;
     while (at < end)
     {
-        std::vector<std::size_t> cut;
-        do
-        {
-            cut = choose_cut(world, world.cut_random);
-        } while (looks_like_the_fleet(world, cut));
+        const std::vector<std::size_t> cut = choose_cut(world, world.cut_random);
         const core::duration time = between(world.cut_random, shortest_cut_s, longest_cut_s);
         schedule(world.queue, at,
                  [&world, cut, time] { begin_cut(world, cut, time, world.cut_random); });
--- a/src/model/cut_off_restarts.hpp
+++ b/src/model/cut_off_restarts.hpp
@@ -14,10 +14,8 @@
 /// Schedules partitions between `begin` and `end`, with times from `seed` and not from the world's
 /// generator. A data centre, the seeds, or some of all daemons are cut off from the others, and all
 /// or some of them start again; all daemons reach the store, callers and servers. All accounts send
-/// far above their rates meanwhile. Records the partitions as disturbances of all daemons.
-///
-/// A part that holds all seeds and daemons in all data centres is not cut off: nothing tells it
-/// from a whole fleet that has started again.
+/// far above their rates meanwhile, a service fails, and servers restart. Records the partitions as
+/// disturbances of all daemons.
 void schedule_cut_off_restarts(world& world, core::time_point begin, core::time_point end,
                                std::uint64_t seed);
 
--- a/test/correctness/fleet/contact_test.cpp
+++ b/test/correctness/fleet/contact_test.cpp
@@ -151,16 +151,89 @@
     EXPECT_EQ(known_at(without_seeds, start, start + 20s), start + 3s);
 }
 
-// Shows what no daemon can tell apart: the part of a larger fleet that holds all seeds and members
-// in all data centres, cut off and started again, sees the same as a fleet that consists of these.
-TEST(contact, a_part_with_all_seeds_and_data_centres_is_taken_for_the_fleet)
+/// The side of a partition that has lost `lost` and still hears of `heard`, a second after the
+/// loss.
+starting_daemon remaining_side(const std::vector<member>& lost, const std::vector<member>& heard)
 {
-    starting_daemon hub("s1");
-    hub.registry.data_centres = {"a", "b"};
-    hub.receive_hello("s2", start + 100ms);
-    hub.receive_hello("s3", start + 100ms, 0, "b");
-    EXPECT_TRUE(hub.estimate(start + 100ms).members_known == 20 &&
-                hub.estimate(start + 4s).is_known);
+    starting_daemon daemon("m9");
+    daemon.registry.data_centres = {"a", "b"};
+    on_members_heard(daemon.heard, daemon.choice, lost, start);
+    on_members_heard(daemon.heard, daemon.choice, heard, start + 1s);
+    return daemon;
+}
+
+// Returns whether the shares are given up, while the members of `heard` are heard of.
+bool gives_up_shares(starting_daemon& daemon, const std::vector<member>& heard,
+                     core::duration since_loss)
+{
+    on_members_heard(daemon.heard, daemon.choice, heard, start + since_loss);
+    return may_others_be_the_fleet(daemon.registry, daemon.choice, daemon.heard,
+                                   start + since_loss);
+}
+
+const std::vector<member> seeds = {
+    {"vm-s1", "s1", 0, "a"}, {"vm-s2", "s2", 0, "a"}, {"vm-s3", "s3", 0, "b"}};
+const std::vector<member> others = {{"vm-m7", "m7", 0, "a"}, {"vm-m8", "m8", 0, "b"}};
+
+// Guards against both sides of a partition that grant an account's rate: the part of a fleet that
+// holds all seeds and members in all data centres sees the same after a restart as a fleet that
+// consists of these members, and takes itself for it. The others must not use their shares then.
+TEST(contact, a_side_without_seeds_gives_way_to_a_part_that_looks_like_the_fleet)
+{
+    starting_daemon restarted("s1");
+    restarted.registry.data_centres = {"a", "b"};
+    restarted.receive_hello("s2", start + 300ms);
+    restarted.receive_hello("s3", start + 300ms, 0, "b");
+    const core::time_point restarted_knows = known_at(restarted, start + 300ms, start + 20s);
+    EXPECT_EQ(restarted_knows, start + 3300ms);
+
+    starting_daemon remaining = remaining_side(seeds, others);
+    EXPECT_FALSE(gives_up_shares(remaining, others, 2900ms)) << "no seed restarts so fast";
+    for (core::duration time = 3s; time <= partition_time; time += 500ms)
+    {
+        EXPECT_TRUE(gives_up_shares(remaining, others, time));
+    }
+    EXPECT_FALSE(gives_up_shares(remaining, others, 13s)) << "the seeds may be down for good";
+}
+
+// Guards against refusals of what accounts are owed when no part that restarts can take itself for
+// the fleet: a seed is left, or the lost members are not in all data centres.
+TEST(contact, a_side_keeps_its_shares_unless_the_others_can_look_like_the_fleet)
+{
+    const std::vector<member> two_seeds(seeds.begin(), seeds.begin() + 2);
+    std::vector<member> with_seed = others;
+    with_seed.push_back(seeds[2]);
+    starting_daemon seed_left = remaining_side(two_seeds, with_seed);
+    EXPECT_FALSE(gives_up_shares(seed_left, with_seed, 5s));
+
+    const std::vector<member> seeds_in_a = {
+        {"vm-s1", "s1", 0, "a"}, {"vm-s2", "s2", 0, "a"}, {"vm-s3", "s3", 0, "a"}};
+    starting_daemon data_centre_left = remaining_side(seeds_in_a, others);
+    EXPECT_FALSE(gives_up_shares(data_centre_left, others, 5s));
+
+    // A member that was lost long before cannot be with the seeds.
+    starting_daemon earlier = remaining_side(seeds_in_a, others);
+    earlier.heard.members["vm-old"] = {.data_centre = "b", .last_heard = start - 10s};
+    EXPECT_FALSE(gives_up_shares(earlier, others, 5s));
+
+    const std::vector<member> one_seed = {seeds[0], {"vm-m1", "m1", 0, "b"}};
+    starting_daemon unmet_seeds = remaining_side(one_seed, others);
+    EXPECT_FALSE(gives_up_shares(unmet_seeds, others, 5s)) << "two seeds are out of date";
+}
+
+// Guards against a daemon that is cut off by itself and refuses all requests of accounts: its share
+// is within what is tolerated above the rates.
+TEST(contact, a_small_side_keeps_its_shares)
+{
+    std::vector<member> lost = seeds;
+    for (int i = 0; i < 16; ++i)
+    {
+        lost.push_back({"vm-x" + std::to_string(i), "x" + std::to_string(i), 0, "b"});
+    }
+    starting_daemon alone = remaining_side(lost, {});
+    EXPECT_FALSE(gives_up_shares(alone, {}, 5s));
+    starting_daemon with_others = remaining_side(lost, others);
+    EXPECT_TRUE(gives_up_shares(with_others, others, 5s));
 }
 
 // Guards against a seed that is never met because it knows this daemon by another address: a hub
--- a/test/correctness/model/fleet_check_test.cpp
+++ b/test/correctness/model/fleet_check_test.cpp
@@ -62,13 +62,13 @@
 }
 
 // Guards against daemons that start again behind a network partition and take themselves for the
-// whole fleet, because some of the seeds, or all of them in one data centre, are with them. These
-// seeds broke the promise of quotas while more than half of the seeds were enough.
+// whole fleet, because some or all of the seeds are with them. These seeds broke the promise of
+// quotas while more than half of the seeds were enough.
 TEST(fleet_check, restarts_behind_a_partition_keep_to_the_accounts_rates)
 {
     for (const std::size_t daemons : {9U, 19U})
     {
-        for (const std::uint64_t seed : {1U, 2U})
+        for (const std::uint64_t seed : {2U, 3U})
         {
             const run_result result =
                 run({.seed = seed, .daemons = daemons, .cut_off_restarts = true});
