Replica: an entry written again at its old revision is no proof that the backup had others

After a drill of the store a server in service, a data centre out of service or a configuration could be forgotten until it was written again, up to 2.3 s.

Cause: backup_revision took an entry with the same revision before and after the restoration for part of the backup, and every lower revision with it. Revisions are given out again, so a lost entry may be written again at the very revision that it had; another lost one below it was then removed at once instead of being held.

Change: an entry that the restored store lacks is always held for 2.3 s. backup_revision is gone.

--- a/src/fleet/replica.cpp
+++ b/src/fleet/replica.cpp
@@ -182,21 +182,6 @@
     return false;
 }
 
-/// Returns a revision that the backup certainly included: the highest one of an entry that is as it
-/// was before the restoration.
-std::uint64_t backup_revision(const replica& replica, const entry_map& before)
-{
-    std::uint64_t out = 0;
-    for (const auto& [key, entry] : before)
-    {
-        const auto restored = replica.entries.find(key);
-        const bool is_unchanged =
-            restored != replica.entries.end() && restored->second.revision == entry.revision;
-        out = is_unchanged ? std::max(out, entry.revision) : out;
-    }
-    return out;
-}
-
 std::vector<entry_change> begin_era(replica& replica, const std::vector<entry_change>& snapshot,
                                     std::uint64_t revision, core::time_point now)
 {
@@ -214,22 +199,16 @@
             out.push_back(restored);
         }
     }
-    const std::uint64_t included = backup_revision(replica, before);
+    // An entry may have been removed since the backup, or written after it and lost.
     for (const auto& [key, entry] : before)
     {
         if (replica.entries.contains(key))
         {
             continue;
         }
-        entry_change removal = {.key = key, .value = std::nullopt, .revision = revision};
-        if (entry.revision <= included)
-        {
-            // The backup had the entry, so it was removed since.
-            out.push_back(std::move(removal));
-            continue;
-        }
         replica.entries[key] = {entry.value, revision, entry.sequence};
-        hold(replica, std::move(removal), now + rewrite_time);
+        hold(replica, {.key = key, .value = std::nullopt, .revision = revision},
+             now + rewrite_time);
     }
     return out;
 }
