--- a/src/fleet/contact.cpp
+++ b/src/fleet/contact.cpp
@@ -24,6 +24,18 @@
                        { return hub->members_known > 0 && hub->settled; });
 }
 
+bool is_in_contact(const heard_member& member, core::time_point now)
+{
+    return now - member.last_heard < contact_timeout;
+}
+
+std::size_t count_members_in_contact(const contact_history& history, core::time_point now)
+{
+    return static_cast<std::size_t>(std::count_if(history.members.begin(), history.members.end(),
+                                                  [&](const auto& entry)
+                                                  { return is_in_contact(entry.second, now); }));
+}
+
 // Returns how many of the data centres have a member that was heard of lately.
 std::size_t count_data_centres_in_contact(const registry& registry, const contact_history& history,
                                           core::time_point now)
@@ -31,7 +43,7 @@
     std::set<std::string> met = {registry.self.data_centre};
     for (const auto& [vm, entry] : history.members)
     {
-        if (now - entry.last_heard < contact_timeout)
+        if (is_in_contact(entry, now))
         {
             met.insert(entry.data_centre);
         }
@@ -59,17 +71,7 @@
 // Returns whether this daemon and the members that are heard of are a tenth of all, or less.
 bool is_small_side(const contact_history& history, core::time_point now)
 {
-    const auto heard = std::count_if(history.members.begin(), history.members.end(),
-                                     [&](const auto& entry)
-                                     { return now - entry.second.last_heard < contact_timeout; });
-    return (static_cast<std::size_t>(heard) + 1) * 10 <= history.members.size() + 1;
-}
-
-bool is_alone(const contact_history& history, core::time_point now)
-{
-    return std::none_of(history.members.begin(), history.members.end(),
-                        [&](const auto& entry)
-                        { return now - entry.second.last_heard < contact_timeout; });
+    return (count_members_in_contact(history, now) + 1) * 10 <= history.members.size() + 1;
 }
 
 } // namespace
@@ -104,8 +106,9 @@
         has_all_data_centres = out.data_centres == registry.data_centres->size();
     }
     // A daemon that is the only seed and meets nobody may be the fleet, or be cut off from it.
-    out.is_complete = choice.seed_count == 0 || (out.seeds == choice.seed_count &&
-                                                 has_all_data_centres && !is_alone(history, now));
+    out.is_complete =
+        choice.seed_count == 0 || (out.seeds == choice.seed_count && has_all_data_centres &&
+                                   count_members_in_contact(history, now) > 0);
     return out;
 }
 
@@ -120,8 +123,7 @@
     }
     const auto is_lost_with_seeds = [&](const heard_member& member)
     {
-        return now - member.last_heard >= contact_timeout &&
-               member.last_heard >= *lost_at - discovery_time;
+        return !is_in_contact(member, now) && member.last_heard >= *lost_at - discovery_time;
     };
     return std::all_of(registry.data_centres->begin(), registry.data_centres->end(),
                        [&](const std::string& name)
