Body budget: a single large body leaves the small ones their memory

Beside 1,940 stalled bodies of 43 KB, one of 64 MiB took a daemon over its 160 MB; the platform ended it.

Cause: the only large body was let in up to 11/16 of the memory, whatever the small ones held, which may be half.

Change: that bound holds for the large body and the small ones together. So that stalled small bodies don't keep a large one out until their time limit, they make way for it, but only if they are what keeps it out.

Evidence: both new tests of body_budget fail on the code before (75 MB held of 46 MB).

--- a/src/limits/body_budget.cpp
+++ b/src/limits/body_budget.cpp
@@ -28,7 +28,15 @@
     }
     const std::uint64_t room = options.bytes - options.small_reserve;
     const bool fits = held_by_others <= room && bytes <= room - held_by_others;
-    return fits || large_of_others == 0;
+    return fits || (large_of_others == 0 && held_by_others <= options.single_bytes &&
+                    bytes <= options.single_bytes - held_by_others);
+}
+
+// Returns whether a body that waits would have room if there were no small ones.
+bool is_kept_out_by_small(const body_budget& budget, std::uint64_t bytes)
+{
+    return !has_room(budget, budget.held, budget.held_large, bytes) &&
+           has_room(budget, budget.held_large, budget.held_large, bytes);
 }
 
 // Returns how far the caller is behind a steady transfer that ends in time, as a share of it.
@@ -129,13 +137,13 @@
                                         core::time_point now)
 {
     std::optional<body_id> stalled, behind;
+    const bool do_small_help = !is_large(budget, bytes) || is_kept_out_by_small(budget, bytes);
     core::time_point oldest_progress = now - budget.options.stall_time;
     double most_behind = 0.0;
     for (const auto& [id, entry] : budget.entries)
     {
-        const bool helps =
-            entry.reserved > 0 && (is_large(budget, entry.reserved) || !is_large(budget, bytes));
-        if (!entry.in_transfer || !helps)
+        const bool is_large_body = is_large(budget, entry.reserved);
+        if (!entry.in_transfer || entry.reserved == 0 || !(is_large_body || do_small_help))
         {
             continue;
         }
@@ -146,8 +154,9 @@
         }
         // A transfer that has just begun has no rate yet.
         const bool has_rate = now - entry.began_at >= budget.options.stall_time;
+        const bool is_peer = is_large_body || !is_large(budget, bytes);
         const double share = share_behind(entry, now);
-        if (has_rate && share > most_behind)
+        if (has_rate && is_peer && share > most_behind)
         {
             behind = id;
             most_behind = share;
--- a/src/limits/body_budget.hpp
+++ b/src/limits/body_budget.hpp
@@ -22,7 +22,7 @@
     /// does not keep ordinary requests out.
     std::uint64_t small_reserve = 0;
     std::uint64_t small_bytes = 64ULL * 1024;
-    /// Of a large body that is the only one, which may be above `bytes`.
+    /// Of a large body that is the only one, and the small ones beside it; may be above `bytes`.
     std::uint64_t single_bytes = std::numeric_limits<std::uint64_t>::max();
     /// Time without a byte after which a caller may lose its place. Above the round trips and the
     /// retransmissions of a working network.
@@ -89,7 +89,8 @@
 
 /// Returns the body whose caller is to lose its place to one that waits for `bytes`: the one that
 /// has stalled for the longest, or else the one furthest behind the rate at which it would be
-/// complete in time. Nothing if all that would help make progress.
+/// complete in time. Small bodies make way for large ones only if they have stalled and take the
+/// room that is missing. Nothing if all that would help make progress.
 std::optional<body_id> slowest_transfer(const body_budget& budget, std::uint64_t bytes,
                                         core::time_point now);
 
--- a/test/correctness/limits/body_budget_test.cpp
+++ b/test/correctness/limits/body_budget_test.cpp
@@ -110,6 +110,34 @@
     EXPECT_EQ(slowest_transfer(budget, 4 * mb, start + 1s), std::nullopt);
 }
 
+// Guards against a process that takes more memory than it may because a large body that is the only
+// one is let in whatever the small ones hold already.
+TEST(body_budget, a_single_large_body_and_the_small_ones_stay_below_its_limit)
+{
+    body_budget budget = make_budget();
+    while (reserve(budget, add_body(budget), 64 * 1024) == reservation::granted)
+    {
+    }
+    EXPECT_EQ(budget.held, 32 * mb);
+    EXPECT_EQ(reserve(budget, add_body(budget), 40 * mb), reservation::wait);
+    EXPECT_EQ(reserve(budget, add_body(budget), 12 * mb), reservation::granted);
+    EXPECT_LE(budget.held, budget.options.single_bytes);
+}
+
+// Guards against a large body that gets no room until a crowd of small ones that have stalled
+// reaches its time limit.
+TEST(body_budget, small_bodies_that_have_stalled_make_way_for_a_large_one_that_they_keep_out)
+{
+    body_budget budget = make_budget();
+    const body_id stalled = add_sender(budget, 64 * 1024, start);
+    const body_id moving = add_sender(budget, 64 * 1024, start);
+    on_progress(budget, moving, 1, start + 900ms);
+    EXPECT_EQ(slowest_transfer(budget, 43 * mb, start + 1s), std::nullopt) << "there is room";
+    EXPECT_EQ(slowest_transfer(budget, 44 * mb, start + 1s), stalled);
+    end_transfer(budget, stalled);
+    EXPECT_EQ(slowest_transfer(budget, 44 * mb, start + 1s), std::nullopt);
+}
+
 // Guards against small callers that are closed although that makes no room for a large body.
 TEST(body_budget, a_small_body_does_not_make_way_for_a_large_one)
 {
