Requests: one that may not be hedged yet waits without work

Cause: forward() waits until the time of the hedge. If that has passed and there is no retry, or the process stops and may send nothing more, the wait ends at once, again and again.

--- a/src/net/request_handler.cpp
+++ b/src/net/request_handler.cpp
@@ -243,7 +243,7 @@
             co_await wait_until(std::min(deadline_, core::boot_clock_now() + selection_interval));
             continue;
         }
-        co_await wait_until(std::min(deadline_, hedge_time().value_or(deadline_)));
+        co_await wait_until(std::min(deadline_, next_hedge_check(now)));
     }
     co_return http_response();
 }
@@ -344,6 +344,13 @@
                                 .usual_latency = statistics_->latency.median});
 }
 
+// A hedge that is due and may not be sent now, for lack of retries, may be sent later.
+core::time_point request_handler::next_hedge_check(core::time_point now) const
+{
+    const core::time_point hedge_at = hedge_time().value_or(deadline_);
+    return hedge_at > now ? hedge_at : now + selection_interval;
+}
+
 core::time_point request_handler::last_send_time() const
 {
     const bool may_have_run = !request::has_certainly_not_run(progress_);
--- a/src/net/request_handler.hpp
+++ b/src/net/request_handler.hpp
@@ -69,6 +69,7 @@
     bool has_lost_its_place() const;
     std::optional<core::duration> service_pause(core::time_point now) const;
     std::optional<core::time_point> hedge_time() const;
+    core::time_point next_hedge_check(core::time_point now) const;
     bool may_send_now(core::time_point now) const;
     /// Returns until when the request may be sent to a server.
     core::time_point last_send_time() const;
--- a/test/correctness/net/request_handler_test.cpp
+++ b/test/correctness/net/request_handler_test.cpp
@@ -4,6 +4,8 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <ctime>
+
 namespace zinniaferry::net
 {
 namespace
@@ -259,5 +261,36 @@
         << "what the configuration allows is still served";
 }
 
+// Processor time that the listener's thread has taken.
+core::duration thread_time(front_end& daemon)
+{
+    timespec time{};
+    daemon.run_on_io_thread([&](caller_sessions&, asio::ip::tcp::acceptor&)
+                            { ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time); });
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
+// Guards against a request that takes a processor until its response comes, because its time for a
+// second server has come and there are no retries left.
+TEST(request_handler, a_request_that_may_not_be_hedged_yet_waits_without_work)
+{
+    raw_server server(
+        [](const std::string&)
+        {
+            std::this_thread::sleep_for(800ms);
+            return good_response;
+        });
+    front_end daemon(one_server_configuration(server.address()), platform::make_http_profile());
+    daemon.run_on_io_thread(
+        [](caller_sessions& sessions, asio::ip::tcp::acceptor&)
+        {
+            sessions.gateway.retry_budget.options.ratio = 0.0;
+            sessions.gateway.retry_budget.tokens["s"] = 0.0;
+        });
+    const core::duration before = thread_time(daemon);
+    EXPECT_THAT(daemon.exchange(request()), StartsWith("HTTP/1.1 200 "));
+    EXPECT_LT(thread_time(daemon) - before, 200ms);
+}
+
 } // namespace
 } // namespace zinniaferry::net
