Requests: TRACE with a body is refused

Cause: Boost.Beast throws for such a request when it is prepared for a server, after the server was chosen.

Change: it is refused with 400 before a server is chosen; RFC 9110 allows no body in TRACE.

Evidence: the new test fails on the code before.

--- a/src/net/message_rules.cpp
+++ b/src/net/message_rules.cpp
@@ -118,7 +118,9 @@
     const std::string_view coding = header_value(request.base(), "Transfer-Encoding");
     const bool is_supported =
         coding.empty() || boost::beast::iequals(beast_view(coding), "chunked");
-    if (!is_supported || !request.target().starts_with("/"))
+    // A TRACE request has no body, and a server may take one for the next request.
+    const bool has_trace_body = request.method() == http::verb::trace && !request.body().empty();
+    if (!is_supported || has_trace_body || !request.target().starts_with("/"))
     {
         return refusal_reason::bad_request;
     }
--- a/src/net/message_rules.hpp
+++ b/src/net/message_rules.hpp
@@ -51,7 +51,8 @@
 };
 
 /// Validates a parsed request and extracts its description. Refuses a message that a backend server
-/// could interpret differently (repeated headers, unsupported transfer codings). Thread safe.
+/// could interpret differently (repeated headers, unsupported transfer codings, TRACE with a body).
+/// Thread safe.
 std::variant<request_description, request::refusal_reason>
 describe_request(const http_request& request, const http_profile& profile);
 
--- a/test/correctness/net/request_handler_test.cpp
+++ b/test/correctness/net/request_handler_test.cpp
@@ -292,5 +292,18 @@
     EXPECT_LT(thread_time(daemon) - before, 200ms);
 }
 
+// Guards against a connection that ends without a response: a TRACE request has no body, and one
+// with a body cannot be forwarded.
+TEST(request_handler, a_trace_request_with_a_body_is_refused)
+{
+    raw_server server(good_response);
+    const front_end daemon(one_server_configuration(server.address()),
+                           platform::make_http_profile());
+    const std::string message = "TRACE /open HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nab";
+    EXPECT_THAT(daemon.exchange(message), StartsWith("HTTP/1.1 400 "));
+    EXPECT_THAT(server.received(), testing::IsEmpty());
+    EXPECT_THAT(daemon.exchange(request("TRACE")), StartsWith("HTTP/1.1 200 "));
+}
+
 } // namespace
 } // namespace zinniaferry::net
